--- /dev/null
+++ b/transport/src/test/kotlin/io/daisybend/transport/PeerNetworkTest.kt
@@ -0,0 +1,105 @@
+package io.daisybend.transport
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.daisybend.kernel.VmId
+import io.daisybend.kernel.settings.SocketEndpoint
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.awaitCancellation
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.random.Random
+
+class PeerNetworkTest : FunSpec({
+    val secret = "a secret of the test".toByteArray()
+    val alpha = VmId("alpha")
+    val beta = VmId("beta")
+
+    fun freeAddress() = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use {
+        SocketEndpoint("127.0.0.1", it.localPort)
+    }
+
+    suspend fun withPair(
+        openerSecret: ByteArray = secret,
+        limits: PeerLimits = PeerLimits(),
+        body: suspend (PeerNetwork, PeerNetwork, SocketEndpoint) -> Unit,
+    ) {
+        val address = freeAddress()
+        val opener = PeerNetwork(alpha, openerSecret, { address }, limits)
+        val listener = PeerNetwork(beta, secret, { null }, limits)
+        try {
+            listener.listen(address)
+            body(opener, listener, address)
+        } finally {
+            opener.close()
+            listener.close()
+        }
+    }
+
+    test("a call is answered by the handler of its channel, which learns the caller's VM") {
+        withPair { opener, listener, _ ->
+            listener.handle("echo") { from, payload -> from.value.toByteArray() + payload }
+            val answer = opener.call(beta, "echo", byteArrayOf(1, 2), timeoutMs = 5_000).get()
+            answer shouldBe alpha.value.toByteArray() + byteArrayOf(1, 2)
+        }
+    }
+
+    test("a process with another secret is refused") {
+        withPair(openerSecret = "another".toByteArray()) { opener, listener, _ ->
+            listener.handle("echo") { _, payload -> payload }
+            val failure = opener.call(beta, "echo", byteArrayOf(1), timeoutMs = 5_000).getError()
+            failure.shouldBeInstanceOf<PeerFailure.NotAuthenticated>().mayHaveHandled shouldBe false
+        }
+    }
+
+    test("a call without an answer times out and may have been handled") {
+        withPair { opener, listener, _ ->
+            listener.handle("silent") { _, _ -> awaitCancellation() }
+            val failure = opener.call(beta, "silent", byteArrayOf(1), timeoutMs = 100).getError()
+            failure.shouldBeInstanceOf<PeerFailure.TimedOut>().mayHaveHandled shouldBe true
+        }
+    }
+
+    test("a handler that throws refuses one call and serves the next") {
+        withPair { opener, listener, _ ->
+            var calls = 0
+            listener.handle("fragile") { _, payload ->
+                check(calls++ > 0) { "expected a second call" }
+                payload
+            }
+            opener.call(beta, "fragile", byteArrayOf(1), 5_000).getError().shouldBeInstanceOf<PeerFailure.Refused>()
+            opener.call(beta, "fragile", byteArrayOf(2), 5_000).get() shouldBe byteArrayOf(2)
+        }
+    }
+
+    test("a message above the frame limit is refused before it is sent") {
+        withPair(limits = PeerLimits(maxFrameBytes = 2_000)) { opener, listener, _ ->
+            listener.handle("echo") { _, payload -> payload }
+            val failure = opener.call(beta, "echo", ByteArray(3_000), 5_000).getError()
+            failure.shouldBeInstanceOf<PeerFailure.TooLarge>()
+        }
+    }
+
+    test("a peer that is not listening is not connected") {
+        val network = PeerNetwork(alpha, secret, { freeAddress() })
+        val failure = network.call(beta, "echo", byteArrayOf(1), 1_000).getError()
+        failure.shouldBeInstanceOf<PeerFailure.NotConnected>().mayHaveHandled shouldBe false
+        network.close()
+    }
+
+    test("random bytes on the peers' port are refused and the daemon serves on") {
+        withPair(limits = PeerLimits(connectTimeoutMs = 300)) { opener, listener, address ->
+            listener.handle("echo") { _, payload -> payload }
+            val random = Random(5)
+            repeat(200) {
+                Socket(address.host, address.port).use { socket ->
+                    runCatching { socket.getOutputStream().write(random.nextBytes(random.nextInt(1, 200))) }
+                }
+            }
+            opener.call(beta, "echo", byteArrayOf(9), 5_000).get() shouldBe byteArrayOf(9)
+        }
+    }
+})
