--- a/kernel/src/main/kotlin/io/daisybend/kernel/CborCodec.kt
+++ b/kernel/src/main/kotlin/io/daisybend/kernel/CborCodec.kt
@@ -32,11 +32,12 @@
 public fun <T> decodeCbor(serializer: KSerializer<T>, bytes: ByteArray): Result<T, MalformedCbor> = try {
     Ok(cbor.decodeFromByteArray(serializer, bytes))
 } catch (invalid: Exception) {
-    Err(
-        MalformedCbor(
-            serializer.descriptor.serialName.substringAfterLast('.'),
-            bytes.size,
-            invalid.javaClass.simpleName,
-        ),
-    )
+    Err(malformed(serializer, bytes, invalid))
+} catch (endless: StackOverflowError) {
+    Err(malformed(serializer, bytes, endless))
+}
+
+private fun malformed(serializer: KSerializer<*>, bytes: ByteArray, cause: Throwable): MalformedCbor {
+    val expected = serializer.descriptor.serialName.substringAfterLast('.')
+    return MalformedCbor(expected, bytes.size, cause.javaClass.simpleName)
 }
