--- a/transport/src/main/kotlin/io/daisybend/transport/PeerNetwork.kt
+++ b/transport/src/main/kotlin/io/daisybend/transport/PeerNetwork.kt
@@ -162,15 +162,14 @@
     private suspend fun authenticateOpener(socket: Socket): PeerConnection? {
         val input = socket.openReadChannel()
         val output = socket.openWriteChannel()
-        val hello = input.readFrame(MAX_HANDSHAKE_BYTES) as? Frame.Hello ?: return null
-        if (hello.to != vmId) return null
+        val hello = (input.readFrame(MAX_HANDSHAKE_BYTES) as? Frame.Hello)?.takeIf { it.to == vmId } ?: return null
         val nonce = handshake.nonce()
         val ownProof = handshake.listenerProof(hello.from, vmId, hello.nonce, nonce)
         output.writeFrame(Frame.Challenge(nonce, ownProof).encode())
         val proof = input.readFrame(MAX_HANDSHAKE_BYTES) as? Frame.Proof ?: return null
         val expected = handshake.openerProof(hello.from, vmId, hello.nonce, nonce)
-        if (!handshake.matches(expected, proof.proof)) return null
-        return PeerConnection(hello.from, socket, input, output, limits, handlers)
+        val proven = handshake.matches(expected, proof.proof)
+        return if (proven) PeerConnection(hello.from, socket, input, output, limits, handlers) else null
     }
 
     private companion object {
