Serve requests over the whole path as separate processes

Cause: there was no path from a caller to an engine. The daemon now authenticates, checks the manifest, dispatches to an engine or a plain service, and streams the answer; rates, ownership and idempotency still stand behind interfaces with thin implementations.

--- /dev/null
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
@@ -0,0 +1,175 @@
+/*
+ * Drives the demonstration: one caller and one operator use three daemons, and every answer is checked. bin/demo starts
+ * the processes around it.
+ */
+package io.daisybend.bench.demo
+
+import io.daisybend.configuration.Manifest
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+/** Runs the demonstration; arguments: first port, file with the operators' token. */
+public fun main(args: Array<String>) {
+    require(args.size == 2) { "expected PORT_BASE and TOKEN_FILE, got ${args.size} arguments" }
+    val token = Files.readString(Path.of(args[1])).trim()
+    val checks = DemoChecks()
+    val client = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout) { requestTimeoutMillis = 60_000 }
+    }
+    runBlocking { Demo(DemoSite(args[0].toInt()), client, token, checks).run() }
+    client.close()
+    println(checks.summary())
+    exitProcess(checks.exitCode)
+}
+
+private class Demo(
+    private val site: DemoSite,
+    private val client: HttpClient,
+    private val operatorToken: String,
+    private val checks: DemoChecks,
+) {
+    private val key = DemoKey("front-desk", "uncommon-lantern")
+    private val withdrawnKey = DemoKey("lost-phone", "forgotten-ferry")
+
+    suspend fun run() {
+        awaitHealthy()
+        applyManifest(site.manifest(listOf(key.spec, withdrawnKey.spec)))
+        awaitReady()
+        coldRequest()
+        streamedRequest()
+        adapterRequest()
+        reservation()
+        withdrawnKeyRequest()
+        gracefulStop()
+    }
+
+    private suspend fun coldRequest() {
+        val response = chat(site.callerAddresses[0], "order-drafts", "Draft the order for Friday.", key)
+        val text = response.bodyAsText()
+        checks.served("cold request", response.status.value == 200 && "order-drafts-" in text, "${response.status}")
+    }
+
+    private suspend fun streamedRequest() {
+        val text = streamed(site.callerAddresses[1])
+        checks.served("warm streamed request", isWholeStream(text), "${tokenCount(text)} tokens")
+    }
+
+    private suspend fun adapterRequest() {
+        val response = chat(site.callerAddresses[2], DemoSite.adapter.value, "Is the film on?", key)
+        val correct = response.status.value == 200 && DemoSite.adapter.value in response.bodyAsText()
+        checks.served("request with an adapter", correct, "${response.status}")
+    }
+
+    private suspend fun reservation() {
+        val response = client.post("http://${site.callerAddresses[0]}/services/booking/reservations") {
+            bearerAuth(key.text)
+            header("Idempotency-Key", "reservation-1")
+            contentType(ContentType.Application.Json)
+            setBody("""{"blankets":12}""")
+        }
+        checks.served("reservation", response.status.value == 201, "${response.status} ${response.bodyAsText()}")
+    }
+
+    private suspend fun withdrawnKeyRequest() {
+        applyManifest(site.manifest(listOf(key.spec)))
+        val refusal = awaitRefusal()
+        val asExpected = refusal.status.value == 401 && refusal.headers["X-Execution-Status"] == "not_run"
+        checks.refused("request with a withdrawn key", asExpected, "${refusal.status}")
+    }
+
+    private suspend fun awaitRefusal(): HttpResponse {
+        repeat(MAX_POLLS) {
+            val response = chat(site.callerAddresses[1], "order-drafts", "Hello?", withdrawnKey)
+            if (response.status.value != 200) return response
+            delay(POLL_INTERVAL_MS)
+        }
+        return chat(site.callerAddresses[1], "order-drafts", "Hello?", withdrawnKey)
+    }
+
+    private suspend fun gracefulStop() = coroutineScope {
+        val streams = List(STREAMS_DURING_STOP) { async { streamed(site.callerAddresses[2]) } }
+        delay(POLL_INTERVAL_MS)
+        client.post("http://${site.operatorAddresses[2]}/admin/drain") { bearerAuth(operatorToken) }
+        streams.awaitAll().forEach {
+            checks.served("stream during a stop", isWholeStream(it), "${tokenCount(it)} tokens")
+        }
+    }
+
+    private suspend fun streamed(address: String): String = client.post("http://$address/v1/chat/completions") {
+        bearerAuth(key.text)
+        contentType(ContentType.Application.Json)
+        setBody(chatBody("order-drafts", "Which films run this week?", stream = true))
+    }.bodyAsText()
+
+    private suspend fun chat(address: String, model: String, text: String, key: DemoKey): HttpResponse =
+        client.post("http://$address/v1/chat/completions") {
+            bearerAuth(key.text)
+            contentType(ContentType.Application.Json)
+            setBody(chatBody(model, text, stream = false))
+        }
+
+    private suspend fun applyManifest(manifest: Manifest) {
+        val response = client.post("http://${site.operatorAddresses[0]}/admin/manifest") {
+            bearerAuth(operatorToken)
+            setBody(json.encodeToString(Manifest.serializer(), manifest))
+        }
+        check(response.status.value == 200) { "expected an accepted manifest, got ${response.bodyAsText()}" }
+    }
+
+    private suspend fun awaitHealthy() = site.operatorAddresses.forEach { awaitOk("http://$it/healthz") }
+
+    private suspend fun awaitReady() = site.operatorAddresses.forEach { awaitOk("http://$it/readyz") }
+
+    private suspend fun awaitOk(url: String) {
+        repeat(MAX_POLLS) {
+            try {
+                if (client.get(url).status.value == 200) return
+            } catch (_: IOException) {
+                // The process has not started yet.
+            }
+            delay(POLL_INTERVAL_MS)
+        }
+        error("expected $url to answer 200 within ${MAX_POLLS * POLL_INTERVAL_MS} ms, it did not")
+    }
+
+    private companion object {
+        const val MAX_POLLS = 200
+        const val POLL_INTERVAL_MS = 100L
+        const val STREAMS_DURING_STOP = 10
+        val json = Json { encodeDefaults = true }
+    }
+}
+
+private const val STREAM_TOKENS = 40
+
+private fun chatBody(model: String, text: String, stream: Boolean): String =
+    """{"model":"$model","stream":$stream,"max_tokens":$STREAM_TOKENS,"messages":[{"role":"user","content":"$text"}]}"""
+
+private fun tokenCount(stream: String): Int = Regex("order-drafts-\\d+-(\\d+)").findAll(stream).count()
+
+/** Tells whether [stream] holds every token once, in order, and its end. */
+private fun isWholeStream(stream: String): Boolean {
+    val indexes = Regex("order-drafts-\\d+-(\\d+)").findAll(stream).map { it.groupValues[1].toInt() }.toList()
+    return indexes == (0 until STREAM_TOKENS).toList() && "[DONE]" in stream
+}
--- /dev/null
+++ b/cli/src/main/kotlin/io/daisybend/cli/CliMain.kt
@@ -0,0 +1,66 @@
+/*
+ * The operators' tool: finds the command that the first arguments name, parses the rest, runs it and prints its
+ * output. Failures go to standard error; CliFailure documents the exit codes.
+ */
+package io.daisybend.cli
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.runBlocking
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import java.io.PrintStream
+import kotlin.system.exitProcess
+
+private const val EXIT_OK = 0
+private const val EXIT_USAGE = 2
+
+internal fun commands(): List<Command> = listOf(
+    ManifestApplyCommand(),
+    ManifestShowCommand(),
+    StatusCommand(),
+    TimelineCommand(),
+    AddressCommand(),
+    DrainCommand(),
+)
+
+/** Runs the tool and exits with the command's exit code. */
+public fun main(args: Array<String>): Unit = exitProcess(runCli(args.toList(), System.out, System.err))
+
+internal fun runCli(args: List<String>, out: PrintStream, err: PrintStream): Int {
+    val command = commands().firstOrNull { args.take(it.wordCount) == it.name.split(' ') }
+    if (command == null) {
+        val wantsHelp = args.firstOrNull() in listOf("--help", "help")
+        printUsage(if (wantsHelp) out else err)
+        return if (wantsHelp) EXIT_OK else EXIT_USAGE
+    }
+    val parser = CmdLineParser(command)
+    try {
+        parser.parseArgument(args.drop(command.wordCount))
+    } catch (invalid: CmdLineException) {
+        err.println("daisybend ${command.name}: ${invalid.message}")
+        parser.printUsage(err)
+        return EXIT_USAGE
+    }
+    if (command.help) {
+        out.println("daisybend ${command.name}: ${command.summary}")
+        parser.printUsage(out)
+        return EXIT_OK
+    }
+    return runBlocking { command.run() }.fold(
+        success = {
+            out.println(if (command.json) it.json else it.human)
+            EXIT_OK
+        },
+        failure = {
+            err.println("daisybend ${command.name}: ${it.message}")
+            it.exitCode
+        },
+    )
+}
+
+private val Command.wordCount: Int get() = name.split(' ').size
+
+private fun printUsage(to: PrintStream) {
+    to.println("usage: daisybend COMMAND [options]; daisybend COMMAND --help describes one")
+    commands().forEach { to.println("  %-20s %s".format(it.name, it.summary)) }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -0,0 +1,258 @@
+/*
+ * One daemon: creates the ports that the settings name, joins them with the decisions, and starts and stops them in
+ * order.
+ */
+package io.daisybend.daemon
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.runCatching
+import io.daisybend.daemon.admin.AddressRoute
+import io.daisybend.daemon.admin.OperatorContext
+import io.daisybend.daemon.admin.OperatorInterface
+import io.daisybend.daemon.admin.OperatorRoutes
+import io.daisybend.daemon.admin.ReadinessCheck
+import io.daisybend.daemon.admin.StatusLine
+import io.daisybend.daemon.admin.StatusSource
+import io.daisybend.daemon.admin.respondAdmin
+import io.daisybend.daemon.endpoint.EngineClient
+import io.daisybend.daemon.endpoint.ServiceClient
+import io.daisybend.daemon.gateway.CallerContext
+import io.daisybend.daemon.gateway.CallerInterface
+import io.daisybend.daemon.gateway.GatewayLimits
+import io.daisybend.daemon.lifecycle.Lifecycle
+import io.daisybend.daemon.lifecycle.LifecyclePhase
+import io.daisybend.daemon.request.RequestService
+import io.daisybend.daemon.request.RequestSteps
+import io.daisybend.daemon.thin.DirectModelDispatcher
+import io.daisybend.daemon.thin.DirectServiceDispatcher
+import io.daisybend.daemon.thin.ListedAddresses
+import io.daisybend.daemon.thin.LocalConfiguration
+import io.daisybend.daemon.thin.LocalModelAccess
+import io.daisybend.daemon.thin.LocalRateLimiter
+import io.daisybend.daemon.thin.ManifestRoutes
+import io.daisybend.kernel.Failure
+import io.daisybend.kernel.FailureDomainId
+import io.daisybend.kernel.MillisClock
+import io.daisybend.kernel.PlatformLog
+import io.daisybend.kernel.SystemMillisClock
+import io.daisybend.kernel.Timeline
+import io.daisybend.kernel.VmDirectory
+import io.daisybend.kernel.VmEntry
+import io.daisybend.kernel.VmId
+import io.daisybend.kernel.VmState
+import io.daisybend.kernel.plugin.PortRegistry
+import io.daisybend.kernel.plugin.UnknownImplementation
+import io.daisybend.kernel.settings.Settings
+import io.daisybend.transport.PeerNetwork
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.server.routing.post
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.slf4j.LoggerFactory
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** A file that the settings name cannot be read. */
+public data class UnreadableSecret(val file: String) : Failure {
+    override val message: String = "expected a readable file with a secret at $file, got none"
+}
+
+/** Secrets that are read from files at start. */
+public class DaemonSecrets(internal val peerSecret: ByteArray, internal val operatorToken: String)
+
+/** Reads the secrets that [settings] name; fails when a file cannot be read. */
+public fun readSecrets(settings: Settings): Result<DaemonSecrets, UnreadableSecret> =
+    readSecret(settings[DaemonKeys.peerSecretFile]).andThen { peerSecret ->
+        readSecret(settings[DaemonKeys.operatorTokenFile]).map { token ->
+            DaemonSecrets(peerSecret.toByteArray(), token)
+        }
+    }
+
+private fun readSecret(file: String): Result<String, UnreadableSecret> =
+    runCatching { Files.readString(Path.of(file)).trim().also { require(it.isNotEmpty()) { "expected a secret" } } }
+        .mapError { UnreadableSecret(file) }
+
+/** The ports to everything outside this process. */
+public class DaemonPorts(
+    public val log: PlatformLog,
+    public val directory: VmDirectory,
+    public val engines: EngineClient,
+    public val services: ServiceClient,
+)
+
+/** Creates the ports that [settings] name; fails when no plug-in offers one. */
+public fun createPorts(
+    settings: Settings,
+    registry: PortRegistry,
+    client: HttpClient,
+): Result<DaemonPorts, UnknownImplementation> {
+    val platform =
+        PlatformContext(client, settings[DaemonKeys.platformAddress], settings[DaemonKeys.platformTimeout])
+    val endpoints = EndpointContext(client, settings[DaemonKeys.controlTimeout])
+    return registry.create(PlatformLog::class, settings[DaemonKeys.platformProtocol], platform).andThen { log ->
+        registry.create(VmDirectory::class, settings[DaemonKeys.platformProtocol], platform).andThen { directory ->
+            registry.create(EngineClient::class, settings[DaemonKeys.engineProtocol], endpoints).andThen { engines ->
+                registry.create(ServiceClient::class, settings[DaemonKeys.serviceProtocol], endpoints)
+                    .map { DaemonPorts(log, directory, engines, it) }
+            }
+        }
+    }
+}
+
+/** Returns the HTTP client of a daemon. */
+public fun daemonHttpClient(): HttpClient = HttpClient(CIO) {
+    expectSuccess = false
+    engine {
+        requestTimeout = 0
+        maxConnectionsCount = MAX_CONNECTIONS
+        endpoint {
+            connectTimeout = CONNECT_TIMEOUT_MS
+            maxConnectionsPerRoute = MAX_CONNECTIONS
+        }
+    }
+    install(HttpTimeout)
+}
+
+private const val MAX_CONNECTIONS = 4_000
+private const val CONNECT_TIMEOUT_MS = 2_000L
+
+/** Runs the daemon that [settings] describe. */
+public class Daemon(
+    private val settings: Settings,
+    secrets: DaemonSecrets,
+    private val registry: PortRegistry,
+    private val ports: DaemonPorts,
+    clock: MillisClock = SystemMillisClock,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val vmId = VmId(settings[DaemonKeys.vmId])
+    private val timeline = Timeline(vmId, clock, listener = ::logEvent)
+    private val lifecycle = Lifecycle()
+    private val metrics = PrometheusRegistry()
+    private val stopping = Mutex()
+
+    private val addresses =
+        ListedAddresses(ports.directory, settings[DaemonKeys.addressLifetime], ownEntry = ::ownEntry)
+    private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
+    private val configuration = LocalConfiguration(ports.log, timeline)
+    private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val service = RequestService(
+        steps = RequestSteps(
+            authenticator = configuration,
+            configuration = configuration,
+            rates = LocalRateLimiter,
+            models = DirectModelDispatcher(modelAccess, ports.engines),
+            services = DirectServiceDispatcher(configuration, ports.services),
+            addresses = addresses,
+        ),
+        lifecycle = lifecycle,
+        clock = clock,
+        timeline = timeline,
+    )
+    private val callers = registry.create(
+        CallerInterface::class,
+        settings[DaemonKeys.callerProtocol],
+        CallerContext(settings[DaemonKeys.callerListen], service, settings.gatewayLimits(), clock),
+    )
+    private val operators = OperatorInterface(
+        OperatorContext(
+            listen = settings[DaemonKeys.operatorListen],
+            token = secrets.operatorToken,
+            timeline = timeline,
+            lifecycle = lifecycle,
+            metrics = metrics,
+            routes = listOf(ManifestRoutes(configuration), AddressRoute(addresses), stopRoute()),
+            statusSources = listOf(StatusSource { vmStatus() }),
+            readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
+        ),
+    )
+
+    /** Starts serving; fails when no plug-in offers the caller protocol, throws when an address cannot be bound. */
+    public suspend fun start(): Result<Unit, UnknownImplementation> = callers.map { callerInterface ->
+        JvmMetrics.builder().register(metrics)
+        peers.listen(settings[DaemonKeys.peerListen])
+        scope.launch { addresses.follow() }
+        scope.launch { configuration.follow() }
+        operators.start()
+        callerInterface.start()
+        lifecycle.advanceTo(LifecyclePhase.SERVING)
+        timeline.record("daemon-started")
+        log.info("serving callers on {}", settings[DaemonKeys.callerListen])
+    }
+
+    /** Stops after the address lifetime has run out and the last request has ended. */
+    public suspend fun stop(): Unit = stopping.withLock {
+        if (lifecycle.phase == LifecyclePhase.STOPPED) return
+        lifecycle.advanceTo(LifecyclePhase.LEAVING)
+        timeline.record("daemon-leaving")
+        ports.directory.register(ownEntry())
+        delay(settings[DaemonKeys.addressLifetime])
+        val idle = lifecycle.awaitIdle(settings[DaemonKeys.stopTimeout])
+        lifecycle.advanceTo(LifecyclePhase.STOPPED)
+        ports.directory.remove(vmId)
+        timeline.record("daemon-stopped", detail = if (idle) "idle" else "${lifecycle.requestsInProgress} requests cut")
+        log.info("stopped with {} requests in progress", lifecycle.requestsInProgress)
+        callers.map { it.stop(STOP_MS) }
+        operators.stop()
+        peers.close()
+        scope.cancel()
+    }
+
+    private fun stopRoute() = OperatorRoutes { route ->
+        route.post("/drain") {
+            scope.launch(Dispatchers.IO) { stop() }
+            call.respondAdmin(StatusLine.serializer(), StatusLine("vm", vmId.value, LifecyclePhase.LEAVING.name))
+        }
+    }
+
+    private fun vmStatus(): List<StatusLine> {
+        val own = StatusLine("vm", vmId.value, "${lifecycle.phase} ${lifecycle.requestsInProgress} requests")
+        val revision = StatusLine("configuration", vmId.value, "revision ${configuration.current()?.revision ?: 0}")
+        return listOf(own, revision)
+    }
+
+    private fun configurationMissing(): String? =
+        if (configuration.current() == null) "no configuration is known" else null
+
+    private fun ownEntry() = VmEntry(
+        vmId = vmId,
+        failureDomainId = FailureDomainId(settings[DaemonKeys.failureDomain]),
+        region = settings[DaemonKeys.region],
+        callerAddress = settings[DaemonKeys.callerListen].toString(),
+        peerAddress = settings[DaemonKeys.peerListen].toString(),
+        state = if (lifecycle.phase < LifecyclePhase.LEAVING) VmState.LIVE else VmState.LEAVING,
+    )
+
+    /** Suspends until the daemon has stopped. */
+    public suspend fun awaitStopped() {
+        while (lifecycle.phase != LifecyclePhase.STOPPED) delay(STOP_POLL_MS)
+        stopping.withLock { }
+    }
+
+    private companion object {
+        const val STOP_MS = 500L
+        const val STOP_POLL_MS = 50L
+        val log = LoggerFactory.getLogger(Daemon::class.java)
+    }
+}
+
+private fun Settings.gatewayLimits() = GatewayLimits(
+    maxBodyBytes = get(DaemonKeys.maxBody),
+    maxConcurrentRequests = get(DaemonKeys.maxRequests).toInt(),
+    defaultTimeoutMs = get(DaemonKeys.defaultTimeout),
+    maxTimeoutMs = get(DaemonKeys.maxTimeout),
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/ConfigurationView.kt
@@ -0,0 +1,51 @@
+/*
+ * The configuration in force, indexed for the look-ups of a request.
+ */
+package io.daisybend.daemon.request
+
+import io.daisybend.configuration.AdapterSpec
+import io.daisybend.configuration.EndpointSpec
+import io.daisybend.configuration.KeyId
+import io.daisybend.configuration.KeySpec
+import io.daisybend.configuration.Manifest
+import io.daisybend.configuration.ModelSpec
+import io.daisybend.configuration.RouteSpec
+import io.daisybend.configuration.TeamSpec
+import io.daisybend.kernel.AdapterId
+import io.daisybend.kernel.EndpointId
+import io.daisybend.kernel.ModelId
+import io.daisybend.kernel.TeamId
+
+/** A manifest in force with its [revision]. */
+public class ConfigurationIndex(public val revision: Long, public val manifest: Manifest) {
+    private val models = manifest.models.associateBy { it.modelId }
+    private val adapters = manifest.adapters.associateBy { it.adapterId }
+    private val teams = manifest.teams.associateBy { it.teamId }
+    private val keys = manifest.keys.associateBy { it.keyId }
+    private val endpoints = manifest.endpoints.associateBy { it.endpointId }
+    private val routes = manifest.routes.associateBy { it.name }
+
+    /** Returns the model [modelId], or null. */
+    public fun model(modelId: ModelId): ModelSpec? = models[modelId]
+
+    /** Returns the adapter [adapterId], or null. */
+    public fun adapter(adapterId: AdapterId): AdapterSpec? = adapters[adapterId]
+
+    /** Returns the team [teamId], or null. */
+    public fun team(teamId: TeamId): TeamSpec? = teams[teamId]
+
+    /** Returns the key [keyId], or null. */
+    public fun key(keyId: KeyId): KeySpec? = keys[keyId]
+
+    /** Returns the endpoint [endpointId], or null. */
+    public fun endpoint(endpointId: EndpointId): EndpointSpec? = endpoints[endpointId]
+
+    /** Returns the route [name], or null. */
+    public fun route(name: String): RouteSpec? = routes[name]
+}
+
+/** Gives the configuration in force. */
+public interface ConfigurationView {
+    /** Returns the configuration in force, or null before the first one is known. */
+    public fun current(): ConfigurationIndex?
+}
--- a/kernel/src/main/kotlin/io/daisybend/kernel/Timeline.kt
+++ b/kernel/src/main/kotlin/io/daisybend/kernel/Timeline.kt
@@ -20,11 +20,12 @@
     val detail: String = "",
 )
 
-/** Keeps the latest [capacity] events of one process; safe for use by several threads. */
+/** Keeps the latest [capacity] events of one process and tells [listener] of each; safe for use by several threads. */
 public class Timeline(
     private val vmId: VmId,
     private val clock: MillisClock,
     private val capacity: Int = DEFAULT_CAPACITY,
+    private val listener: (TimelineEvent) -> Unit = {},
 ) {
     private val lock = Any()
     private val events = ArrayDeque<TimelineEvent>()
@@ -39,13 +40,13 @@
         endpointId: EndpointId? = null,
         detail: String = "",
     ) {
-        synchronized(lock) {
+        val event = synchronized(lock) {
             if (events.size == capacity) events.removeFirst()
             val sequence = nextSequence++
-            events += TimelineEvent(
-                clock.nowMs(), vmId, sequence, kind, requestId, teamId, modelId, endpointId, detail,
-            )
+            TimelineEvent(clock.nowMs(), vmId, sequence, kind, requestId, teamId, modelId, endpointId, detail)
+                .also { events += it }
         }
+        listener(event)
     }
 
     /** Returns the kept events, oldest first. */
--- a/kernel/src/main/kotlin/io/daisybend/kernel/VmDirectory.kt
+++ b/kernel/src/main/kotlin/io/daisybend/kernel/VmDirectory.kt
@@ -39,4 +39,7 @@
 
     /** Registers or refreshes [entry]; fails when the platform does not answer. */
     public suspend fun register(entry: VmEntry): Result<Unit, DirectoryUnavailable>
+
+    /** Removes [vmId] from the list; fails when the platform does not answer. */
+    public suspend fun remove(vmId: VmId): Result<Unit, DirectoryUnavailable>
 }
