Run non-repeatable calls at most once and say truthfully whether they ran

Cause: a call may be repeated through any VM, VMs vanish with their memory, and appends, messages and connections fail after taking effect.

Change: intents, outcomes and abandonments in partitioned streams with group commit; the replay of the stream names the one attempt that may be dispatched. DispatchAttempt says at each step what may be claimed. Checkpoints carry keys past the log's retention.

--- /dev/null
+++ b/dispatch/src/main/kotlin/io/daisybend/dispatch/RequestKey.kt
@@ -0,0 +1,47 @@
+/*
+ * Keys and fingerprints of non-repeatable requests. Both are truncated SHA-256 digests: a caller can neither read
+ * another team's key from the log nor choose a key that collides with one.
+ */
+package io.daisybend.dispatch
+
+import io.daisybend.kernel.TeamId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+
+/** Identifies a non-repeatable request over all calls that carry the same idempotency key. */
+@Serializable
+public data class RequestKey(@SerialName("h") val high: Long, @SerialName("l") val low: Long)
+
+/** Tells whether two calls with one key ask for the same thing. */
+@Serializable
+public data class RequestFingerprint(@SerialName("h") val high: Long, @SerialName("l") val low: Long)
+
+/** Returns the key of a call by [teamId] on [route] with the header value [idempotencyKey]. */
+public fun requestKeyOf(teamId: TeamId, route: String, idempotencyKey: String): RequestKey {
+    val digest =
+        digestOf(teamId.value.encodeToByteArray(), route.encodeToByteArray(), idempotencyKey.encodeToByteArray())
+    return RequestKey(high = digest.getLong(0), low = digest.getLong(Long.SIZE_BYTES))
+}
+
+/** Returns the fingerprint of a call with [method], [path] and [body]. */
+public fun fingerprintOf(method: String, path: String, body: ByteArray): RequestFingerprint {
+    val digest = digestOf(method.encodeToByteArray(), path.encodeToByteArray(), body)
+    return RequestFingerprint(high = digest.getLong(0), low = digest.getLong(Long.SIZE_BYTES))
+}
+
+/** The number of intent streams; every process of a system has to use the same number. */
+public const val INTENT_PARTITIONS: Int = 32
+
+/** Returns the partition of [key] among [partitions]. */
+public fun partitionOf(key: RequestKey, partitions: Int = INTENT_PARTITIONS): Int = Math.floorMod(key.low, partitions)
+
+private fun digestOf(vararg parts: ByteArray): ByteBuffer {
+    val sha = MessageDigest.getInstance("SHA-256")
+    for (part in parts) {
+        sha.update(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(part.size).flip())
+        sha.update(part)
+    }
+    return ByteBuffer.wrap(sha.digest())
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/io/daisybend/dispatch/DispatchAttemptTest.kt
@@ -0,0 +1,55 @@
+package io.daisybend.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+class DispatchAttemptTest : FunSpec({
+    val steps = listOf(
+        DispatchEvent.Started,
+        DispatchEvent.Connected,
+        DispatchEvent.RequestWritten,
+        DispatchEvent.AnswerStarted(200),
+        DispatchEvent.AnswerEnded,
+    )
+
+    fun attemptAfter(events: List<DispatchEvent>, refusalStatusCodes: Set<Int> = emptySet()) =
+        DispatchAttempt(deadlineMs = 100L, refusalStatusCodes).also { attempt ->
+            events.forEach { attempt.handle(it, nowMs = 0L) }
+        }
+
+    test("a connection that breaks before the first write means not run, and unknown from then on") {
+        val statuses = steps.indices.map { count ->
+            attemptAfter(steps.take(count)).handle(DispatchEvent.ConnectionLost, nowMs = 0L)
+        }
+        statuses shouldBe listOf(
+            DispatchAction.End(ExecutionStatus.NotRun),
+            DispatchAction.End(ExecutionStatus.NotRun),
+            DispatchAction.End(ExecutionStatus.Unknown),
+            DispatchAction.End(ExecutionStatus.Unknown),
+            DispatchAction.End(ExecutionStatus.Unknown),
+        )
+    }
+
+    test("the status line alone decides when the endpoint refuses before running") {
+        val refused = attemptAfter(steps.take(3) + DispatchEvent.AnswerStarted(429), refusalStatusCodes = setOf(429))
+        refused.handle(DispatchEvent.ConnectionLost, nowMs = 0L) shouldBe DispatchAction.End(ExecutionStatus.NotRun)
+    }
+
+    test("a server error is a failure at the endpoint, any other whole answer completes the call") {
+        val failed = attemptAfter(steps.take(3) + DispatchEvent.AnswerStarted(503))
+        failed.handle(DispatchEvent.AnswerEnded, nowMs = 0L) shouldBe DispatchAction.End(ExecutionStatus.Failed)
+        val completed = attemptAfter(steps.take(3) + DispatchEvent.AnswerStarted(404))
+        completed.handle(DispatchEvent.AnswerEnded, nowMs = 0L) shouldBe DispatchAction.End(ExecutionStatus.Completed)
+    }
+
+    test("an attempt that was suspended past its deadline writes nothing") {
+        val attempt = attemptAfter(steps.take(1))
+        attempt.handle(DispatchEvent.Connected, nowMs = 100L) shouldBe DispatchAction.End(ExecutionStatus.NotRun)
+    }
+
+    test("an attempt ends once") {
+        val attempt = attemptAfter(steps)
+        attempt.step shouldBe DispatchStep.ENDED
+        attempt.handle(DispatchEvent.ConnectionLost, nowMs = 0L) shouldBe null
+    }
+})
--- /dev/null
+++ b/dispatch/src/test/kotlin/io/daisybend/dispatch/IntentIndexTest.kt
@@ -0,0 +1,99 @@
+package io.daisybend.dispatch
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.daisybend.kernel.VmId
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.byte
+import io.kotest.property.arbitrary.byteArray
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.random.Random
+
+private const val KEYS = 12
+private val writer = GatewayIncarnation(VmId("vm-1"), startId = 1L)
+
+class IntentIndexTest : FunSpec({
+    fun key(number: Int) = RequestKey(number.toLong(), number.toLong())
+
+    fun randomRecord(random: Random): IntentRecord {
+        val key = key(random.nextInt(KEYS))
+        val attemptId = AttemptId(writer, random.nextLong(KEYS * 3L))
+        val answer = StoredAnswer(200, "text/plain", ByteArray(random.nextInt(40)))
+        return when (random.nextInt(4)) {
+            0 -> IntentRecord.Abandonment(key, attemptId)
+            1 -> IntentRecord.Outcome(key, attemptId, StoredOutcome(ExecutionStatus.Completed, answer))
+            else -> IntentRecord.Intent(key, RequestFingerprint(0L, 0L), attemptId)
+        }
+    }
+
+    test("a reader that starts from a checkpoint knows what a reader of the whole stream knows") {
+        checkAll(PropTestConfig(seed = 4L, iterations = 2_000), Arb.long()) { seed ->
+            val random = Random(seed)
+            val retention = IntentRetention(keyRetentionMs = 2_000L, answersBytes = 100L)
+            val whole = IntentIndex(retention)
+            val stream = mutableListOf<IntentBatch>()
+            var waiting = emptyList<IntentRecord.CheckpointPart>()
+            val firstKept = random.nextInt(20)
+            repeat(60) { step ->
+                if (step == 25) waiting = whole.checkpoint(writer, entriesPerPart = 2)
+                val records = List(random.nextInt(3)) { randomRecord(random) } + waiting.take(1)
+                waiting = waiting.drop(1)
+                val batch = decodeIntentBatch(encodeIntentBatch(IntentBatch(step * 50L, records))).get()
+                stream += batch.shouldNotBeNull()
+                whole.read(batch)
+            }
+            val late = IntentIndex(retention)
+            late.restartAt(firstKept.toLong())
+            stream.drop(firstKept).forEach { late.read(it) }
+            late.isComplete shouldBe (firstKept <= 25)
+            (0 until KEYS).forEach { number ->
+                late.find(key(number))?.attemptId shouldBe whole.find(key(number))?.attemptId
+                late.find(key(number))?.outcome?.status shouldBe whole.find(key(number))?.outcome?.status
+            }
+        }
+    }
+
+    test("a reader without a checkpoint decides nothing until its first record is old enough") {
+        val index = IntentIndex(IntentRetention(keyRetentionMs = 1_000L))
+        index.restartAt(firstOffset = 7L)
+        index.read(IntentBatch(appendedAtMs = 100L, records = emptyList()))
+        index.settle(nowMs = 1_099L)
+        index.isComplete shouldBe false
+        index.settle(nowMs = 1_100L)
+        index.isComplete shouldBe true
+    }
+
+    test("bytes that are not a batch give a typed failure") {
+        val bytes = Arb.byteArray(Arb.int(0, 200), Arb.byte())
+        checkAll(PropTestConfig(seed = 5L, iterations = 5_000), bytes) { payload ->
+            val result = decodeIntentBatch(payload)
+            if (result.isErr) result.getError().shouldNotBeNull()
+        }
+    }
+
+    test("answers are dropped oldest first when their bytes exceed the limit, keys stay") {
+        val index = IntentIndex(IntentRetention(answersBytes = 50L))
+        (0 until 3).forEach { number ->
+            val attemptId = AttemptId(writer, number.toLong())
+            val outcome = StoredOutcome(ExecutionStatus.Completed, StoredAnswer(200, "text/plain", ByteArray(20)))
+            val records = listOf(
+                IntentRecord.Intent(key(number), RequestFingerprint(0L, 0L), attemptId),
+                IntentRecord.Outcome(key(number), attemptId, outcome),
+            )
+            index.read(IntentBatch(appendedAtMs = 0L, records))
+        }
+        (0 until 3).map { index.find(key(it))?.outcome?.answer != null } shouldBe listOf(false, true, true)
+    }
+
+    test("keys of different teams and routes differ although their parts join to the same text") {
+        val one = requestKeyOf(io.daisybend.kernel.TeamId("ab"), "c", "d")
+        val other = requestKeyOf(io.daisybend.kernel.TeamId("a"), "bc", "d")
+        (one == other) shouldBe false
+    }
+})
