--- a/standins/src/main/kotlin/io/daisybend/standins/StandInMain.kt
+++ b/standins/src/main/kotlin/io/daisybend/standins/StandInMain.kt
@@ -1,20 +1,8 @@
 /*
- * Starts one stand-in as a process: the platform, a model engine or a plain service. Stand-ins answer over the
- * published HTTP interfaces in docs/STANDINS.md and have switches for the failures that tests bring about.
+ * Starts one stand-in as a process: the platform, a model engine or a plain service.
  */
 package io.daisybend.standins
 
-import io.daisybend.standins.engine.EngineStandIn
-import io.daisybend.standins.platform.PlatformStandIn
-import io.daisybend.standins.service.ServiceStandIn
-import io.ktor.serialization.kotlinx.json.json
-import io.ktor.server.application.Application
-import io.ktor.server.application.install
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.embeddedServer
-import io.ktor.server.plugins.contentnegotiation.ContentNegotiation
-import kotlinx.serialization.json.Json
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
@@ -53,31 +41,19 @@
         parser.printUsage(System.err)
         exitProcess(2)
     }
-    startStandIn(options).start(wait = true)
+    standInFrom(options).start(wait = true)
 }
 
-internal fun startStandIn(options: StandInOptions): EmbeddedServer<*, *> = when (options.kind) {
-    "platform" -> serveStandIn(options.port) { with(PlatformStandIn()) { routes() } }
-    "engine" -> serveStandIn(options.port) { with(engineFrom(options)) { routes() } }
-    "service" -> serveStandIn(options.port) { with(ServiceStandIn()) { routes() } }
+private fun standInFrom(options: StandInOptions): StandIn = when (options.kind) {
+    "platform" -> StandIn.platform(options.port)
+    "engine" -> StandIn.engine(options.port, engineFrom(options))
+    "service" -> StandIn.service(options.port)
     else -> throw IllegalArgumentException("expected platform, engine or service, got ${options.kind}")
 }
 
-private fun engineFrom(options: StandInOptions) = EngineStandIn(
+private fun engineFrom(options: StandInOptions) = EngineOptions(
     memoryBytes = options.memoryBytes,
     kvCacheBytes = options.kvCacheBytes,
     checksFencing = options.checksFencing,
     weightStoreAddress = options.platform.ifBlank { null },
 )
-
-internal val standInJson = Json {
-    ignoreUnknownKeys = true
-    encodeDefaults = true
-    explicitNulls = false
-}
-
-internal fun serveStandIn(port: Int, routes: Application.() -> Unit): EmbeddedServer<*, *> =
-    embeddedServer(CIO, port = port, host = "127.0.0.1") {
-        install(ContentNegotiation) { json(standInJson) }
-        routes()
-    }
--- a/standins/src/main/kotlin/io/daisybend/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/io/daisybend/standins/engine/EngineStandIn.kt
@@ -4,6 +4,7 @@
  */
 package io.daisybend.standins.engine
 
+import io.daisybend.standins.EngineOptions
 import io.daisybend.standins.standInJson
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
@@ -56,13 +57,8 @@
 @Serializable
 public data class EngineSeen(val lines: List<String>)
 
-internal class EngineStandIn(
-    memoryBytes: Long,
-    kvCacheBytes: Long = 0,
-    checksFencing: Boolean = false,
-    private val weightStoreAddress: String? = null,
-) {
-    private val memory = EngineMemory(memoryBytes, kvCacheBytes, checksFencing)
+internal class EngineStandIn(private val options: EngineOptions) {
+    private val memory = EngineMemory(options.memoryBytes, options.kvCacheBytes, options.checksFencing)
     private val cacheEvents = CacheEventLog()
     private val switches = AtomicReference(EngineSwitches())
     private val running = AtomicInteger()
@@ -116,7 +112,7 @@
     }
 
     private suspend fun fetchWeights(order: EngineOrder) {
-        val address = weightStoreAddress ?: return
+        val address = options.weightStoreAddress ?: return
         val folder = if (order.kind == OrderKind.LOAD_ADAPTER) "adapters" else "models"
         val request = HttpRequest.newBuilder(URI("http://$address/weights/$folder/${order.itemId}")).build()
         storeClient.sendAsync(request, HttpResponse.BodyHandlers.discarding()).await()
