--- /dev/null
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationCodec.kt
@@ -0,0 +1,147 @@
+/*
+ * CBOR encoding of records, gossip and snapshots. The first byte is the format version: a VM that meets a higher one
+ * stops following instead of skipping what newer VMs apply. Sizes are checked before the library allocates for them.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package io.daisybend.configuration
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.daisybend.kernel.Failure
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.cbor.Cbor
+import java.io.ByteArrayOutputStream
+import java.security.MessageDigest
+import java.util.HexFormat
+import java.util.zip.DataFormatException
+import java.util.zip.Deflater
+import java.util.zip.Inflater
+
+/** The largest record or message that is decoded. */
+public const val MAX_RECORD_BYTES: Int = 256 * 1024
+
+/** The largest staged difference or snapshot, before compression. */
+public const val MAX_CONTENT_BYTES: Int = 32 * 1024 * 1024
+
+/** The largest part of a staged difference or snapshot. */
+public const val CHUNK_BYTES: Int = 48 * 1024
+
+internal const val MAX_CHUNKS = MAX_CONTENT_BYTES / CHUNK_BYTES
+private const val CODEC_FORMAT: Byte = 1
+private const val INFLATE_BUFFER_BYTES = 64 * 1024
+
+private val cbor = Cbor {
+    useDefiniteLengthEncoding = true
+    alwaysUseByteString = true
+}
+
+/** Why bytes are not a record, message or snapshot of this system. */
+public sealed interface CodecFailure : Failure {
+    /** The bytes are not what their format says. */
+    public data class Malformed(override val message: String) : CodecFailure
+
+    /** The bytes come from a newer version of the system. */
+    public data class NewerFormat(val format: Int) : CodecFailure {
+        override val message: String get() = "expected format $CODEC_FORMAT, came $format"
+    }
+}
+
+internal fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray =
+    byteArrayOf(CODEC_FORMAT) + cbor.encodeToByteArray(serializer, value)
+
+internal fun <T> decode(
+    serializer: KSerializer<T>,
+    bytes: ByteArray,
+    maxBytes: Int = MAX_RECORD_BYTES,
+): Result<T, CodecFailure> {
+    val failure = formFailure(bytes, maxBytes)
+    if (failure != null) return Err(failure)
+    return try {
+        Ok(cbor.decodeFromByteArray(serializer, bytes.copyOfRange(1, bytes.size)))
+    } catch (e: Exception) {
+        Err(CodecFailure.Malformed("expected CBOR, came ${e.javaClass.simpleName}: ${e.message?.take(120)}"))
+    }
+}
+
+private fun formFailure(bytes: ByteArray, maxBytes: Int): CodecFailure? = when {
+    bytes.isEmpty() || bytes.size > maxBytes ->
+        CodecFailure.Malformed("expected 1 to $maxBytes bytes, came ${bytes.size}")
+    bytes[0] > CODEC_FORMAT -> CodecFailure.NewerFormat(bytes[0].toInt())
+    bytes[0] != CODEC_FORMAT -> CodecFailure.Malformed("expected format $CODEC_FORMAT, came ${bytes[0]}")
+    !hasPlausibleSizes(bytes) -> CodecFailure.Malformed("expected whole CBOR, came sizes beyond the end")
+    else -> null
+}
+
+/** Walks over the CBOR items after the format byte and checks each declared size against the bytes that follow. */
+private fun hasPlausibleSizes(bytes: ByteArray): Boolean {
+    var at = 1
+    while (at < bytes.size) {
+        val majorType = (bytes[at].toInt() and 0xff) shr 5
+        val info = bytes[at].toInt() and 0x1f
+        val argumentBytes = if (info < 24 || info == 31) 0 else 1 shl (info - 24).coerceAtMost(4)
+        if (info in 28..30 || at + argumentBytes >= bytes.size) return false
+        val argument = if (argumentBytes == 0) info.toLong() else readUnsigned(bytes, at + 1, argumentBytes)
+        at += 1 + argumentBytes
+        val isSized = majorType in 2..5 && info != 31
+        if (isSized && argument !in 0..(bytes.size - at).toLong()) return false
+        if (isSized && majorType <= 3) at += argument.toInt()
+    }
+    return true
+}
+
+private fun readUnsigned(bytes: ByteArray, from: Int, count: Int): Long =
+    (from until from + count).fold(0L) { value, at -> (value shl 8) or (bytes[at].toLong() and 0xff) }
+
+internal fun sha256(bytes: ByteArray): ContentHash =
+    ContentHash(HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes)))
+
+internal fun compress(bytes: ByteArray): ByteArray {
+    val deflater = Deflater(Deflater.BEST_SPEED)
+    deflater.setInput(bytes)
+    deflater.finish()
+    val output = ByteArrayOutputStream(bytes.size / 4 + 64)
+    val buffer = ByteArray(INFLATE_BUFFER_BYTES)
+    while (!deflater.finished()) output.write(buffer, 0, deflater.deflate(buffer))
+    deflater.end()
+    return output.toByteArray()
+}
+
+internal fun decompress(bytes: ByteArray): Result<ByteArray, CodecFailure> {
+    val inflater = Inflater()
+    inflater.setInput(bytes)
+    val output = ByteArrayOutputStream()
+    val buffer = ByteArray(INFLATE_BUFFER_BYTES)
+    return try {
+        while (!inflater.finished() && output.size() <= MAX_CONTENT_BYTES) {
+            val count = inflater.inflate(buffer)
+            if (count == 0 && !inflater.finished()) return Err(CodecFailure.Malformed("expected whole content"))
+            output.write(buffer, 0, count)
+        }
+        if (output.size() <= MAX_CONTENT_BYTES) Ok(output.toByteArray()) else Err(contentTooLarge())
+    } catch (e: DataFormatException) {
+        Err(CodecFailure.Malformed("expected compressed content, came ${e.message}"))
+    } finally {
+        inflater.end()
+    }
+}
+
+private fun contentTooLarge() = CodecFailure.Malformed("expected at most $MAX_CONTENT_BYTES bytes, came more")
+
+internal fun split(content: ByteArray, chunkBytes: Int = CHUNK_BYTES): List<ByteArray> =
+    (content.indices step chunkBytes).map { content.copyOfRange(it, minOf(it + chunkBytes, content.size)) }
+
+internal fun join(chunks: Collection<ByteArray>): ByteArray {
+    val output = ByteArrayOutputStream(chunks.sumOf { it.size })
+    chunks.forEach { output.write(it) }
+    return output.toByteArray()
+}
+
+/** Encodes a record for the configuration stream. */
+public fun encodeRecord(record: ConfigurationRecord): ByteArray = encode(ConfigurationRecord.serializer(), record)
+
+/** Decodes a record of the configuration stream; fails with a [CodecFailure] on any other bytes. */
+public fun decodeRecord(bytes: ByteArray): Result<ConfigurationRecord, CodecFailure> =
+    decode(ConfigurationRecord.serializer(), bytes)
