--- a/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationCodec.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationCodec.kt
@@ -75,17 +75,20 @@
     else -> null
 }
 
-/** Walks over the CBOR items after the format byte and checks each declared size against the bytes that follow. */
+/**
+ * Walks over the CBOR items after the format byte and checks each declared size against the bytes that follow. Items of
+ * indefinite length, which this system never writes and which the library reads by recursion, are refused.
+ */
 private fun hasPlausibleSizes(bytes: ByteArray): Boolean {
     var at = 1
     while (at < bytes.size) {
         val majorType = (bytes[at].toInt() and 0xff) shr 5
         val info = bytes[at].toInt() and 0x1f
-        val argumentBytes = if (info < 24 || info == 31) 0 else 1 shl (info - 24).coerceAtMost(4)
-        if (info in 28..30 || at + argumentBytes >= bytes.size) return false
+        val argumentBytes = if (info < 24) 0 else 1 shl (info - 24).coerceAtMost(4)
+        if (info > 27 || at + argumentBytes >= bytes.size) return false
         val argument = if (argumentBytes == 0) info.toLong() else readUnsigned(bytes, at + 1, argumentBytes)
         at += 1 + argumentBytes
-        val isSized = majorType in 2..5 && info != 31
+        val isSized = majorType in 2..5
         if (isSized && argument !in 0..(bytes.size - at).toLong()) return false
         if (isSized && majorType <= 3) at += argument.toInt()
     }
