Run the configuration follower in the daemon and give operators its commands

Open routes check freshness too. The tool gets manifest validate, diff, key issue, withdraw and list; a key is made by the tool and only its hash is sent.

--- a/cli/src/main/kotlin/io/daisybend/cli/CliMain.kt
+++ b/cli/src/main/kotlin/io/daisybend/cli/CliMain.kt
@@ -17,6 +17,11 @@
 internal fun commands(): List<Command> = listOf(
     ManifestApplyCommand(),
     ManifestShowCommand(),
+    ManifestValidateCommand(),
+    ManifestDiffCommand(),
+    KeyIssueCommand(),
+    KeyWithdrawCommand(),
+    KeyListCommand(),
     StatusCommand(),
     TimelineCommand(),
     AddressCommand(),
--- a/configuration/src/main/kotlin/io/daisybend/configuration/PeerContacts.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/PeerContacts.kt
@@ -22,10 +22,12 @@
     private var peerSet = emptySet<VmId>()
     private var queue = ArrayDeque<VmId>()
     private var nextSequence = 0
+    private var isListed = false
 
     val size: Int get() = peers.size
 
     fun list(listed: List<VmId>) {
+        isListed = true
         if (listed == peers) return
         peers = listed
         peerSet = listed.toSet()
@@ -71,7 +73,7 @@
         val heard = asked.count { it.heardAtMs >= sinceMs && it.counts && it.nextOffset >= nextOffset }
         val isWhole = peers.size <= minSample
         val sampleSize = if (isWhole) peers.size else maxOf(asked.size, minSample)
-        return heard + own > (sampleSize + 1) * (if (isWhole) WHOLE_SHARE else SAMPLE_SHARE)
+        return isListed && heard + own > (sampleSize + 1) * (if (isWhole) WHOLE_SHARE else SAMPLE_SHARE)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -17,6 +17,11 @@
 import io.daisybend.daemon.admin.StatusLine
 import io.daisybend.daemon.admin.StatusSource
 import io.daisybend.daemon.admin.respondAdmin
+import io.daisybend.daemon.configuration.ChangeSubmission
+import io.daisybend.daemon.configuration.ConfigurationPorts
+import io.daisybend.daemon.configuration.ConfigurationRoutes
+import io.daisybend.daemon.configuration.FollowedConfiguration
+import io.daisybend.daemon.configuration.SnapshotTask
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -29,10 +34,8 @@
 import io.daisybend.daemon.thin.DirectModelDispatcher
 import io.daisybend.daemon.thin.DirectServiceDispatcher
 import io.daisybend.daemon.thin.ListedAddresses
-import io.daisybend.daemon.thin.LocalConfiguration
 import io.daisybend.daemon.thin.LocalModelAccess
 import io.daisybend.daemon.thin.LocalRateLimiter
-import io.daisybend.daemon.thin.ManifestRoutes
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.MillisClock
@@ -148,7 +151,9 @@
     private val addresses =
         ListedAddresses(ports.directory, settings[DaemonKeys.addressLifetime], ownEntry = ::ownEntry)
     private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
-    private val configuration = LocalConfiguration(ports.log, timeline)
+    private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
+    private val configuration = FollowedConfiguration(configurationPorts, scope)
+    private val submission = ChangeSubmission(ports.log, configuration, clock)
     private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
     private val service = RequestService(
         steps = RequestSteps(
@@ -175,7 +180,7 @@
             timeline = timeline,
             lifecycle = lifecycle,
             metrics = metrics,
-            routes = listOf(ManifestRoutes(configuration), AddressRoute(addresses), stopRoute()),
+            routes = listOf(ConfigurationRoutes(configuration, submission), AddressRoute(addresses), stopRoute()),
             statusSources = listOf(StatusSource { vmStatus() }),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
@@ -186,7 +191,8 @@
         JvmMetrics.builder().register(metrics)
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { addresses.follow() }
-        scope.launch { configuration.follow() }
+        configuration.start()
+        scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
         operators.start()
         callerInterface.start()
         lifecycle.advanceTo(LifecyclePhase.SERVING)
@@ -221,10 +227,20 @@
 
     private fun vmStatus(): List<StatusLine> {
         val own = StatusLine("vm", vmId.value, "${lifecycle.phase} ${lifecycle.requestsInProgress} requests")
-        val revision = StatusLine("configuration", vmId.value, "revision ${configuration.current()?.revision ?: 0}")
+        val revision = StatusLine("configuration", vmId.value, configurationStatus())
         return listOf(own, revision)
     }
 
+    private fun configurationStatus(): String {
+        val state = configuration.state ?: return "not known"
+        return "revision ${state.revision} offset ${state.nextOffset} ${configuration.freshness.javaClass.simpleName}"
+    }
+
+    /** Returns the other live VMs, or null before the list is known. */
+    private fun otherVms(): List<VmId>? = addresses.entries.ifEmpty { null }
+        ?.filter { it.state == VmState.LIVE && it.vmId != vmId }
+        ?.map { it.vmId }
+
     private fun configurationMissing(): String? =
         if (configuration.current() == null) "no configuration is known" else null
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/configuration/ConfigurationRoutes.kt
@@ -0,0 +1,147 @@
+/*
+ * Operators' commands on the configuration, below `/admin`. Each answer says what became of the change: accepted by
+ * most VMs, only recorded so far, refused for good, not taken, or unknown until it is submitted again.
+ */
+package io.daisybend.daemon.configuration
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.runCatching
+import io.daisybend.configuration.ChangeId
+import io.daisybend.configuration.ChangeRefusal
+import io.daisybend.configuration.ConfigurationChange
+import io.daisybend.configuration.ConfigurationRecord
+import io.daisybend.configuration.ConfigurationState
+import io.daisybend.configuration.Manifest
+import io.daisybend.configuration.ManifestFailure
+import io.daisybend.configuration.SubmissionFailure
+import io.daisybend.configuration.SubmissionResult
+import io.daisybend.configuration.diffManifests
+import io.daisybend.configuration.readManifest
+import io.daisybend.configuration.toTables
+import io.daisybend.daemon.admin.AdminRefusal
+import io.daisybend.daemon.admin.OperatorRoutes
+import io.daisybend.daemon.admin.adminJson
+import io.daisybend.daemon.admin.respondAdmin
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.serialization.Serializable
+import java.util.UUID
+
+@Serializable
+internal data class ChangeAnswer(val changeId: String, val status: String, val revision: Long)
+
+@Serializable
+internal data class ShownManifest(val revision: Long, val manifestRevision: Long, val manifest: Manifest)
+
+@Serializable
+internal data class ShownKey(val keyId: String, val teamId: String, val issuedByOperator: Boolean)
+
+@Serializable
+internal data class ShownKeys(val keys: List<ShownKey>, val withdrawnKeyIds: List<String>)
+
+internal class ConfigurationRoutes(
+    private val configuration: FollowedConfiguration,
+    private val submission: ChangeSubmission,
+) : OperatorRoutes {
+    override fun addTo(route: Route) {
+        route.get("/manifest") { call.respondAdmin(ShownManifest.serializer(), shownManifest()) }
+        route.post("/manifest") { applyManifest(call) }
+        route.get("/keys") { call.respondAdmin(ShownKeys.serializer(), shownKeys()) }
+        route.post("/changes") { submitChange(call) }
+    }
+
+    private fun state() = configuration.state ?: ConfigurationState.INITIAL
+
+    private fun shownManifest() = state().let { ShownManifest(it.revision, it.manifestRevision, it.manifest()) }
+
+    private fun shownKeys(): ShownKeys {
+        val state = state()
+        val keys = state.tables.keys.values.map {
+            ShownKey(
+                it.keyId.value,
+                it.teamId.value,
+                it.keyId in state.issuedKeyIds,
+            )
+        }
+        return ShownKeys(keys, state.withdrawnKeyIds.map { it.value })
+    }
+
+    private suspend fun applyManifest(call: ApplicationCall) {
+        val state = configuration.state ?: return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
+        val changeId = ChangeId(call.request.queryParameters["changeId"] ?: UUID.randomUUID().toString())
+        val expected = call.request.queryParameters["expectedRevision"]?.toLongOrNull() ?: state.manifestRevision
+        readManifest(call.receiveText(), state.withdrawnKeyIds).fold(
+            success = { manifest ->
+                val diff = diffManifests(state.tables, manifest.toTables(), state.issuedKeyIds)
+                val change = ConfigurationChange.ApplyManifest(expected, diff)
+                call.respondResult(changeId, submission.submit(changeId, change))
+            },
+            failure = {
+                call.refuse(AdminRefusal("invalid_manifest", it.listed()), HttpStatusCode.UnprocessableEntity)
+            },
+        )
+    }
+
+    private suspend fun submitChange(call: ApplicationCall) {
+        if (configuration.state == null) return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
+        val text = call.receiveText()
+        val record = runCatching { adminJson.decodeFromString(ConfigurationRecord.Change.serializer(), text) }
+            .getOrElse { return call.refuse(malformedChange(it), HttpStatusCode.BadRequest) }
+        call.respondResult(record.changeId, submission.submit(record.changeId, record.change))
+    }
+
+    private fun malformedChange(cause: Throwable) =
+        AdminRefusal("malformed_change", "expected a change, ${cause.message.orEmpty().lineSequence().first()}")
+
+    private companion object {
+        val notReady = AdminRefusal("not_ready", "expected a VM that knows the configuration, it is still starting")
+    }
+}
+
+private const val MAX_LISTED_PROBLEMS = 200
+
+private fun ManifestFailure.listed(): String = when (this) {
+    is ManifestFailure.Invalid -> {
+        val shown = problems.take(MAX_LISTED_PROBLEMS).joinToString("\n") { it.message }
+        "${problems.size} problems\n$shown"
+    }
+    else -> message
+}
+
+private suspend fun ApplicationCall.refuse(refusal: AdminRefusal, status: HttpStatusCode) =
+    respondAdmin(AdminRefusal.serializer(), refusal, status)
+
+private suspend fun ApplicationCall.respondResult(changeId: ChangeId, result: SubmissionResult) {
+    when (result) {
+        is SubmissionResult.Accepted -> answer(ChangeAnswer(changeId.value, "accepted", result.revision))
+        is SubmissionResult.RecordedOnly ->
+            answer(ChangeAnswer(changeId.value, "recorded", result.revision), HttpStatusCode.Accepted)
+        is SubmissionResult.Refused ->
+            refuse(AdminRefusal(result.refusal.type, result.refusal.message), HttpStatusCode.Conflict)
+        is SubmissionResult.Failed -> refuseFailed(result.failure)
+    }
+}
+
+private suspend fun ApplicationCall.answer(answer: ChangeAnswer, status: HttpStatusCode = HttpStatusCode.OK) =
+    respondAdmin(ChangeAnswer.serializer(), answer, status)
+
+private suspend fun ApplicationCall.refuseFailed(failure: SubmissionFailure) = when (failure) {
+    is SubmissionFailure.LogUnavailable ->
+        refuse(AdminRefusal("log_unavailable", failure.message), HttpStatusCode.ServiceUnavailable)
+    is SubmissionFailure.OutcomeUnknown ->
+        refuse(AdminRefusal("outcome_unknown", failure.message), HttpStatusCode.GatewayTimeout)
+}
+
+private val ChangeRefusal.type: String
+    get() = when (this) {
+        is ChangeRefusal.RevisionConflict -> "revision_conflict"
+        is ChangeRefusal.KeyIdUsed -> if (withdrawn) "key_withdrawn" else "key_id_used"
+        is ChangeRefusal.UnknownSubject -> "unknown_$kind"
+        is ChangeRefusal.StagedContentUnusable -> "staged_content_unusable"
+        is ChangeRefusal.InvalidResult -> "invalid_result"
+    }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestPorts.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestPorts.kt
@@ -22,8 +22,11 @@
     /** Returns the caller that [key] belongs to; fails when the key is unknown, withdrawn or cannot be checked. */
     public fun authenticate(key: String): Result<Caller, RequestFailure>
 
-    /** Returns when [keyId] has been withdrawn. */
-    public suspend fun awaitWithdrawal(keyId: KeyId)
+    /** Tells whether this VM may serve at all; fails when its configuration is not confirmed to be the newest. */
+    public fun confirmCurrent(): Result<Unit, RequestFailure>
+
+    /** Returns, with the reason, when requests with [keyId] may no longer run. */
+    public suspend fun awaitEndOfKey(keyId: KeyId): RequestFailure
 }
 
 /** Accounts for the tokens of a team over all VMs. */
--- a/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestService.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestService.kt
@@ -23,7 +23,6 @@
 import io.daisybend.kernel.TeamId
 import io.daisybend.kernel.Timeline
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
@@ -136,26 +135,21 @@
         work()
     } else {
         coroutineScope {
-            val withdrawn = CompletableDeferred<Unit>()
-            val watch = launch {
-                steps.authenticator.awaitWithdrawal(keyId)
-                withdrawn.complete(Unit)
-            }
+            val keyEnded = CompletableDeferred<RequestFailure>()
+            val watch = launch { keyEnded.complete(steps.authenticator.awaitEndOfKey(keyId)) }
             val running = async { work() }
             val result = select {
                 running.onAwait { it }
-                withdrawn.onAwait { stopWithdrawn(running) }
+                keyEnded.onAwait { reason ->
+                    running.cancelAndJoin()
+                    Err(reason)
+                }
             }
             watch.cancel()
             result
         }
     }
 
-    private suspend fun <T> stopWithdrawn(running: Deferred<Result<T, RequestFailure>>): Result<T, RequestFailure> {
-        running.cancelAndJoin()
-        return Err(RequestFailure.KeyWithdrawn(ExecutionStatus.UNKNOWN))
-    }
-
     private fun configuration(): Result<ConfigurationIndex, RequestFailure> =
         steps.configuration.current().toResultOr {
             RequestFailure.NotReady("expected a configuration, none is known yet", RETRY_AFTER_MS)
@@ -220,7 +214,7 @@
     }
 
     private fun callerOf(call: RouteCall, route: RouteSpec): Result<Caller?, RequestFailure> {
-        if (route.openToAll) return Ok(null)
+        if (route.openToAll) return steps.authenticator.confirmCurrent().map { null }
         val key = call.key ?: return Err(RequestFailure.Unauthenticated("expected a bearer key, got none"))
         return steps.authenticator.authenticate(key).andThen { caller ->
             if (caller.teamId in route.teamIds) {
