Test the configuration with real connections, over HTTP and in the tool

Cause: the state machines were proved with fakes at their ports only.

Operators' commands over HTTP and the tool's exit codes.

--- /dev/null
+++ b/cli/src/test/kotlin/io/daisybend/cli/CliMainTest.kt
@@ -0,0 +1,69 @@
+/*
+ * The tool's commands that need no daemon, and its exit codes.
+ */
+package io.daisybend.cli
+
+import com.github.michaelbull.result.getError
+import io.daisybend.configuration.Manifest
+import io.daisybend.configuration.writeManifest
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.io.ByteArrayOutputStream
+import java.io.PrintStream
+import java.nio.file.Files
+
+private class CliRun(val exitCode: Int, val out: String, val err: String)
+
+private fun run(vararg args: String): CliRun {
+    val out = ByteArrayOutputStream()
+    val err = ByteArrayOutputStream()
+    val exitCode = runCli(args.toList(), PrintStream(out), PrintStream(err))
+    return CliRun(exitCode, out.toString(), err.toString())
+}
+
+private fun fileWith(text: String): String {
+    val file = Files.createTempFile("manifest", ".json")
+    file.toFile().deleteOnExit()
+    return Files.writeString(file, text).toString()
+}
+
+class CliMainTest : FunSpec({
+    test("a valid manifest is told as valid") {
+        val run = run("manifest", "validate", fileWith(writeManifest(Manifest())))
+        run.exitCode shouldBe 0
+        run.out shouldContain "valid: 0 models"
+    }
+
+    test("an invalid manifest gives every problem and exit code 1") {
+        val run =
+            run("manifest", "validate", fileWith("""{"models":[{"modelId":"","version":"1","weightsBytes":-4}]}"""))
+        run.exitCode shouldBe 1
+        run.err shouldContain "models[0].modelId"
+        run.err shouldContain "models[0].weightsBytes: expected 1 to"
+    }
+
+    test("malformed JSON gives line and column") {
+        run("manifest", "validate", fileWith("{\n  oops")).err shouldContain "line 2, column"
+    }
+
+    test("every command describes itself and wrong arguments give exit code 2") {
+        commands().forEach { command ->
+            run(*command.name.split(' ').toTypedArray(), "--help").exitCode shouldBe 0
+            run(*command.name.split(' ').toTypedArray(), "--nonsense").exitCode shouldBe 2
+        }
+    }
+
+    test("an unreachable daemon gives exit code 3") {
+        val token = fileWith("token")
+        run("key", "list", "--operators", "127.0.0.1:1", "--token-file", token).exitCode shouldBe 3
+    }
+
+    test("a conflict, an unconfirmed change and an unknown outcome have their own exit codes") {
+        CliFailure.Refused(409, "revision_conflict", "").exitCode shouldBe 4
+        CliFailure.Refused(504, "outcome_unknown", "").exitCode shouldBe 6
+        CliFailure.Refused(409, "key_withdrawn", "").exitCode shouldBe 1
+        val recorded = changeOutput("""{"changeId":"a","status":"recorded","revision":3}""").getError()
+        recorded?.exitCode shouldBe 5
+    }
+})
--- /dev/null
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/configuration/SiteFake.kt
@@ -0,0 +1,134 @@
+/*
+ * Several configurations in one process, with real connections between them and a log in memory that each VM can be
+ * cut off from.
+ */
+package io.daisybend.daemon.configuration
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.daisybend.configuration.ChangeId
+import io.daisybend.configuration.ConfigurationChange
+import io.daisybend.configuration.KeyId
+import io.daisybend.configuration.Manifest
+import io.daisybend.configuration.ManifestTables
+import io.daisybend.configuration.ModelSpec
+import io.daisybend.configuration.SubmissionResult
+import io.daisybend.configuration.TeamSpec
+import io.daisybend.configuration.diffManifests
+import io.daisybend.configuration.newKey
+import io.daisybend.configuration.toTables
+import io.daisybend.kernel.LogBatch
+import io.daisybend.kernel.LogFailure
+import io.daisybend.kernel.LogRecord
+import io.daisybend.kernel.LogStream
+import io.daisybend.kernel.ModelId
+import io.daisybend.kernel.PlatformLog
+import io.daisybend.kernel.SystemMillisClock
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.Timeline
+import io.daisybend.kernel.VmId
+import io.daisybend.kernel.settings.SocketEndpoint
+import io.daisybend.transport.PeerNetwork
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import java.net.ServerSocket
+import java.security.SecureRandom
+
+internal class SharedLogFake {
+    private val streams = HashMap<LogStream, MutableList<ByteArray>>()
+
+    @Synchronized
+    fun append(stream: LogStream, payload: ByteArray): Long {
+        val records = streams.getOrPut(stream) { mutableListOf() }
+        records += payload
+        return records.lastIndex.toLong()
+    }
+
+    @Synchronized
+    fun read(stream: LogStream, fromOffset: Long, maxRecords: Int): LogBatch {
+        val all = streams[stream].orEmpty()
+        val records = all.withIndex().drop(fromOffset.toInt()).take(maxRecords)
+        return LogBatch(records.map { LogRecord(it.index.toLong(), it.value) }, 0, all.size.toLong())
+    }
+}
+
+internal class VmFake(val vmId: VmId, site: SiteFake, private val port: Int) : PlatformLog {
+    private val shared = site.log
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val peers = PeerNetwork(vmId, "secret".toByteArray(), site::addressOf)
+    val timeline = Timeline(vmId, SystemMillisClock)
+    val configuration = FollowedConfiguration(
+        ConfigurationPorts(this, peers, { site.vmIds - vmId }, SystemMillisClock, timeline),
+        scope,
+    )
+    val submission = ChangeSubmission(this, configuration, SystemMillisClock)
+
+    @Volatile
+    var reachesLog = true
+
+    suspend fun start() {
+        peers.listen(SocketEndpoint("127.0.0.1", port))
+        configuration.start()
+    }
+
+    fun stop() {
+        scope.cancel()
+        peers.close()
+    }
+
+    override suspend fun append(stream: LogStream, payload: ByteArray): Result<Long, LogFailure> =
+        if (reachesLog) Ok(shared.append(stream, payload)) else Err(down)
+
+    override suspend fun read(stream: LogStream, fromOffset: Long, maxRecords: Int): Result<LogBatch, LogFailure> =
+        if (reachesLog) Ok(shared.read(stream, fromOffset, maxRecords)) else Err(down)
+
+    private companion object {
+        val down = LogFailure.Unavailable("expected the log, this VM is cut off from it")
+    }
+}
+
+internal class SiteFake(size: Int) {
+    val log = SharedLogFake()
+    val vmIds = List(size) { VmId("vm-$it") }
+    private val ports = freePorts(size)
+    val vms = vmIds.mapIndexed { index, vmId -> VmFake(vmId, this, ports[index]) }
+    val key = newKey(KeyId("front-desk"), TeamId("cinema")) { count ->
+        ByteArray(count).also { SecureRandom().nextBytes(it) }
+    }
+    val manifest = Manifest(
+        models = listOf(ModelSpec(ModelId("orders"), "1", weightsBytes = 1_000)),
+        teams = listOf(TeamSpec(TeamId("cinema"), 1_000, 10_000, modelIds = listOf(ModelId("orders")))),
+        keys = listOf(key.spec),
+    )
+
+    fun addressOf(vmId: VmId): SocketEndpoint = SocketEndpoint("127.0.0.1", ports[vmIds.indexOf(vmId)])
+
+    suspend fun start() {
+        vms.forEach { it.start() }
+        vms.forEach { vm -> eventually { vm.configuration.state != null } }
+        val diff = diffManifests(ManifestTables(), manifest.toTables())
+        val result = vms[0].submission.submit(ChangeId("first"), ConfigurationChange.ApplyManifest(0, diff))
+        check(result is SubmissionResult.Accepted) { "expected an accepted manifest, got $result" }
+        vms.forEach { vm -> eventually { vm.configuration.state?.revision == 1L } }
+    }
+
+    fun stop() = vms.forEach { it.stop() }
+}
+
+/** Waits until [holds]; fails when that takes longer than a change may take to be in force everywhere. */
+internal suspend fun eventually(holds: () -> Boolean) = withTimeout(IN_FORCE_MS) {
+    while (!holds()) delay(POLL_INTERVAL_MS)
+}
+
+private const val IN_FORCE_MS = 10_000L
+private const val POLL_INTERVAL_MS = 20L
+
+internal fun freePorts(count: Int): List<Int> {
+    val sockets = List(count) { ServerSocket(0) }
+    return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
+}
