--- a/daemon/src/main/kotlin/io/daisybend/daemon/DaemonMain.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/DaemonMain.kt
@@ -10,6 +10,7 @@
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.plugin.PortRegistry
 import io.daisybend.kernel.settings.Settings
+import io.daisybend.kernel.settings.settingsPage
 import kotlinx.coroutines.runBlocking
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
@@ -26,6 +27,9 @@
 
     @Option(name = "--check", usage = "check the settings and exit")
     var check: Boolean = false
+
+    @Option(name = "--describe-settings", help = true, usage = "print the settings page and exit")
+    var describeSettings: Boolean = false
 }
 
 /** Runs the daemon. */
@@ -39,6 +43,10 @@
         parser.printUsage(System.err)
         exitProcess(EXIT_USAGE)
     }
+    if (options.describeSettings) {
+        print(settingsPage(DaemonKeys.all))
+        return
+    }
     val settings = readDaemonSettings(Path.of(options.config)).fold({ it }, { exitWith(it, EXIT_USAGE) })
     val secrets = readSecrets(settings).fold({ it }, { exitWith(it, EXIT_USAGE) })
     if (options.check) {
