Add token rates over seats held by VMs through the platform's log

Cause: a team's rate and burst have to hold over all VMs, whatever fails. Change: token buckets split into seats, seats held for terms through the log, grants that stay outstanding until they are confirmed or expired, returns limited to what the bucket would hold.

--- /dev/null
+++ b/rates/src/main/kotlin/io/daisybend/rates/SeatLeases.kt
@@ -0,0 +1,377 @@
+/*
+ * Decides which seats this process claims, keeps and gives back. Its own term counts from the moment before the record
+ * that renews it was sent; every other process counts that term from the moment at which it first read the record, and
+ * longer by the clocks' drift, so a successor starts only after the holder has stopped. A successor gets the balance
+ * that a release record carries, otherwise an empty bucket, and in both cases refills it only after the predecessor's
+ * last grants have expired. Without the log nobody can claim, and holders go on until their term ends.
+ */
+package io.daisybend.rates
+
+import io.daisybend.kernel.LogStream
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.VmId
+import io.daisybend.kernel.rankByRendezvous
+
+/** A decoded record at its offset; [record] is null when its bytes were malformed. */
+public data class OffsetRecord(val offset: Long, val record: SeatRecord?)
+
+internal sealed interface SeatEvent {
+    data class TeamsChanged(val teamIds: Set<TeamId>) : SeatEvent
+
+    data class LiveVmsChanged(val vmIds: List<VmId>) : SeatEvent
+
+    data class LogRead(val records: List<OffsetRecord>, val firstOffset: Long, val nextOffset: Long) : SeatEvent
+
+    data class SeatEmptied(val seatId: SeatId, val claimOffset: Long, val balanceMicroTokens: Long) : SeatEvent
+
+    data object Drain : SeatEvent
+
+    data object Tick : SeatEvent
+}
+
+internal sealed interface SeatAction {
+    data class Append(val record: SeatRecord) : SeatAction
+
+    /** Opens a bucket; a null balance means a full one. */
+    data class Open(
+        val seatId: SeatId,
+        val balanceMicroTokens: Long?,
+        val refillFromMs: Long,
+        val termEndMs: Long,
+    ) : SeatAction
+
+    data class Extend(val seatId: SeatId, val termEndMs: Long) : SeatAction
+
+    /** Closes a bucket; [emptyForRelease] asks for a [SeatEvent.SeatEmptied] in return. */
+    data class Close(val seatId: SeatId, val claimOffset: Long, val emptyForRelease: Boolean) : SeatAction
+
+    data class HoldersChanged(val teamId: TeamId, val holders: List<HolderId?>) : SeatAction
+}
+
+/** Names the seat stream of the cell [cellName]. */
+public fun seatStream(cellName: String): LogStream = LogStream("seats-$cellName")
+
+internal class SeatLeases(private val self: HolderId, private val settings: RateSettings) {
+    private class HeldSeat(val claimOffset: Long, var isReleasing: Boolean = false)
+
+    private class PendingRelease(val release: SeatRelease, var appendAfterMs: Long)
+
+    /** The offset from which the log has to be read next. */
+    var readFromOffset: Long = 0
+        private set
+
+    private var table: SeatTable? = null
+    private var scannedHistoryLost: SeatRecord.HistoryLost? = null
+    private var scannedToTailSinceMs: Long? = null
+    private var teamIds: Set<TeamId> = emptySet()
+    private var liveVms: List<VmId> = emptyList()
+    private val liveSinceMs = HashMap<VmId, Long>()
+    private val askMsBySequence = LinkedHashMap<Long, Long>()
+    private var nextSequence = 0L
+    private val held = HashMap<SeatId, HeldSeat>()
+    private val pendingReleases = HashMap<SeatId, PendingRelease>()
+    private val leaseFirstReadMs = HashMap<HolderId, Long>()
+    private val claimableSinceMs = HashMap<SeatId, Long>()
+    private var knownHolders: Map<TeamId, List<HolderId?>> = emptyMap()
+    private var caughtUpAtMs = Long.MIN_VALUE / 2
+    private var renewAfterMs = Long.MIN_VALUE
+    private var claimAfterMs = Long.MIN_VALUE
+    private var rebalanceAfterMs = Long.MIN_VALUE
+    private var snapshotAfterMs = Long.MIN_VALUE
+    private var isRegistered = false
+    private var draining = false
+
+    /** Whether this process holds no seat and owes no release. */
+    val isDrained: Boolean get() = draining && held.isEmpty() && pendingReleases.isEmpty()
+
+    fun handle(event: SeatEvent, nowMs: Long): List<SeatAction> = when (event) {
+        is SeatEvent.TeamsChanged -> changeTeams(event.teamIds)
+        is SeatEvent.LiveVmsChanged -> noteLiveVms(event.vmIds, nowMs)
+        is SeatEvent.LogRead -> readLog(event, nowMs)
+        is SeatEvent.SeatEmptied -> release(event, nowMs)
+        SeatEvent.Drain -> drain()
+        SeatEvent.Tick -> tick(nowMs)
+    }
+
+    private fun changeTeams(newTeamIds: Set<TeamId>): List<SeatAction> {
+        teamIds = newTeamIds
+        return keptSeats().filter { it.teamId !in newTeamIds }.map { closeForRelease(it) } + holderChanges()
+    }
+
+    private fun noteLiveVms(vmIds: List<VmId>, nowMs: Long): List<SeatAction> {
+        liveVms = vmIds
+        liveSinceMs.keys.retainAll(vmIds.toSet())
+        vmIds.forEach { liveSinceMs.putIfAbsent(it, nowMs) }
+        return emptyList()
+    }
+
+    private fun readLog(event: SeatEvent.LogRead, nowMs: Long): List<SeatAction> {
+        val replayed = table
+        if (replayed == null) {
+            scan(event, nowMs)
+            return if (table == null || readFromOffset < event.firstOffset) emptyList() else readLog(event, nowMs)
+        }
+        if (event.firstOffset > replayed.nextOffset) return loseState()
+        val actions = event.records.flatMap { apply(replayed, it, nowMs) }
+        readFromOffset = replayed.nextOffset
+        if (replayed.nextOffset >= event.nextOffset) caughtUpAtMs = nowMs
+        return actions + holderChanges()
+    }
+
+    /** Looks for a state to start from, in the order of the log. */
+    private fun scan(event: SeatEvent.LogRead, nowMs: Long) {
+        if (event.firstOffset == 0L) return start(SeatTable.empty(nextOffset = 0, lostHistory = false))
+        event.records.forEach { (_, record) ->
+            when (record) {
+                is SeatRecord.Snapshot ->
+                    if (record.nextOffset >= event.firstOffset) return start(SeatTable.restore(record))
+                is SeatRecord.HistoryLost ->
+                    if (scannedHistoryLost == null &&
+                        record.nextOffset >= event.firstOffset
+                    ) {
+                        scannedHistoryLost = record
+                    }
+                else -> Unit
+            }
+        }
+        readFromOffset = event.records.lastOrNull()?.let { it.offset + 1 } ?: maxOf(readFromOffset, event.firstOffset)
+        if (readFromOffset < event.nextOffset) return
+        scannedHistoryLost?.let { return start(SeatTable.empty(it.nextOffset, lostHistory = true)) }
+        if (scannedToTailSinceMs == null) scannedToTailSinceMs = nowMs
+    }
+
+    private fun start(startState: SeatTable) {
+        table = startState
+        readFromOffset = startState.nextOffset
+        startState.seats().filter { it.holder == self }.forEach { giveBack(it) }
+    }
+
+    /** Releases a seat that the log assigns to this process but of whose term or balance it knows nothing. */
+    private fun giveBack(state: SeatState) {
+        held[state.seatId] = HeldSeat(state.versionOffset, isReleasing = true)
+        val release = SeatRelease(state.seatId, state.versionOffset, balanceMicroTokens = 0)
+        pendingReleases[state.seatId] = PendingRelease(release, appendAfterMs = Long.MIN_VALUE)
+    }
+
+    /** The log no longer keeps what this process has not read: it cannot know its seats any more. */
+    private fun loseState(): List<SeatAction> {
+        val closed = held.map { (seatId, seat) -> SeatAction.Close(seatId, seat.claimOffset, emptyForRelease = false) }
+        held.clear()
+        pendingReleases.clear()
+        table = null
+        scannedHistoryLost = null
+        scannedToTailSinceMs = null
+        readFromOffset = 0
+        return closed
+    }
+
+    private fun apply(replayed: SeatTable, entry: OffsetRecord, nowMs: Long): List<SeatAction> {
+        if (entry.offset < replayed.nextOffset) return emptyList()
+        val unusedSeats = (entry.record as? SeatRecord.Claimed)?.claims.orEmpty()
+            .map { it.seatId }
+            .filterTo(HashSet()) { replayed.isUnused(it) }
+        replayed.apply(entry.offset, entry.record)
+        val writer = entry.record?.writer ?: return emptyList()
+        leaseFirstReadMs[writer] = nowMs
+        if (writer == self) isRegistered = true
+        val ownTermEndMs = entry.record.takeIf { writer == self }?.let { ownTermEndMs(it) }
+        return lostSeats(replayed) + gainedSeats(replayed, entry.offset, unusedSeats, ownTermEndMs, nowMs) +
+            extendedSeats(ownTermEndMs)
+    }
+
+    private fun ownTermEndMs(record: SeatRecord): Long? {
+        val askedAtMs = record.writtenSequence?.let { askMsBySequence.remove(it) } ?: return null
+        return askedAtMs + settings.termMs
+    }
+
+    private fun lostSeats(replayed: SeatTable): List<SeatAction> = held
+        .filter { (seatId, seat) ->
+            val state = replayed.seat(seatId)
+            state?.holder != self || state.versionOffset != seat.claimOffset
+        }.map { (seatId, seat) ->
+            held.remove(seatId)
+            pendingReleases.remove(seatId)
+            SeatAction.Close(seatId, seat.claimOffset, emptyForRelease = false)
+        }
+
+    private fun gainedSeats(
+        replayed: SeatTable,
+        offset: Long,
+        unusedSeats: Set<SeatId>,
+        termEndMs: Long?,
+        nowMs: Long,
+    ): List<SeatAction> {
+        val gained = replayed.seats().filter { it.holder == self && it.versionOffset == offset }
+        if (termEndMs == null) {
+            gained.forEach { giveBack(it) }
+            return emptyList()
+        }
+        return gained.map { state ->
+            held[state.seatId] = HeldSeat(offset)
+            val isUnused = state.seatId in unusedSeats
+            SeatAction.Open(
+                seatId = state.seatId,
+                balanceMicroTokens = state.balanceMicroTokens.takeUnless { isUnused },
+                refillFromMs = if (isUnused) nowMs else nowMs + settings.grantExpiryMs,
+                termEndMs = termEndMs,
+            )
+        }
+    }
+
+    private fun extendedSeats(termEndMs: Long?): List<SeatAction> {
+        if (termEndMs == null) return emptyList()
+        return keptSeats().map { SeatAction.Extend(it, termEndMs) }
+    }
+
+    private fun holderChanges(): List<SeatAction> {
+        val replayed = table ?: return emptyList()
+        val holders = teamIds.associateWith { teamId -> seatIds(teamId).map { replayed.seat(it)?.holder } }
+        val changes = holders.filter { (teamId, current) -> knownHolders[teamId] != current }
+        knownHolders = holders
+        return changes.map { (teamId, current) -> SeatAction.HoldersChanged(teamId, current) }
+    }
+
+    private fun release(event: SeatEvent.SeatEmptied, nowMs: Long): List<SeatAction> {
+        val seat = held[event.seatId] ?: return emptyList()
+        if (seat.claimOffset != event.claimOffset) return emptyList()
+        pendingReleases[event.seatId] = PendingRelease(
+            SeatRelease(event.seatId, event.claimOffset, event.balanceMicroTokens),
+            appendAfterMs = nowMs,
+        )
+        return emptyList()
+    }
+
+    private fun drain(): List<SeatAction> {
+        draining = true
+        return keptSeats().map { closeForRelease(it) }
+    }
+
+    private fun keptSeats(): List<SeatId> = held.filterValues { !it.isReleasing }.keys.toList()
+
+    private fun closeForRelease(seatId: SeatId): SeatAction {
+        val seat = held.getValue(seatId)
+        seat.isReleasing = true
+        return SeatAction.Close(seatId, seat.claimOffset, emptyForRelease = true)
+    }
+
+    private fun tick(nowMs: Long): List<SeatAction> {
+        val replayed = table ?: return declareLostHistory(nowMs)
+        return renew(nowMs) + appendReleases(nowMs) + writeSnapshot(replayed, nowMs) + claim(replayed, nowMs) +
+            rebalance(replayed, nowMs)
+    }
+
+    private fun declareLostHistory(nowMs: Long): List<SeatAction> {
+        val sinceMs = scannedToTailSinceMs ?: return emptyList()
+        if (nowMs < sinceMs + settings.termExpiryMs) return emptyList()
+        scannedToTailSinceMs = nowMs
+        return listOf(SeatAction.Append(SeatRecord.HistoryLost(readFromOffset)))
+    }
+
+    private fun renew(nowMs: Long): List<SeatAction> {
+        if (nowMs < renewAfterMs || (isRegistered && held.isEmpty())) return emptyList()
+        renewAfterMs = nowMs + if (isRegistered) settings.renewIntervalMs else settings.claimRetryMs
+        return listOf(SeatAction.Append(SeatRecord.Renewed(self, newSequence(nowMs))))
+    }
+
+    private fun appendReleases(nowMs: Long): List<SeatAction> {
+        val due = pendingReleases.values.filter { it.appendAfterMs <= nowMs }
+        if (due.isEmpty()) return emptyList()
+        due.forEach { it.appendAfterMs = nowMs + settings.claimRetryMs }
+        return listOf(SeatAction.Append(SeatRecord.Released(self, newSequence(nowMs), due.map { it.release })))
+    }
+
+    private fun writeSnapshot(replayed: SeatTable, nowMs: Long): List<SeatAction> {
+        val excessRecords = replayed.recordsSinceSnapshot - settings.snapshotIntervalRecords
+        if (excessRecords < 0 || nowMs < snapshotAfterMs) return emptyList()
+        val rank = rankByRendezvous("snapshot", liveVms).indexOf(self.vmId).coerceAtLeast(0)
+        if (excessRecords < rank * SNAPSHOT_STAGGER_RECORDS) return emptyList()
+        snapshotAfterMs = nowMs + settings.claimRetryMs
+        return listOf(SeatAction.Append(replayed.snapshot()))
+    }
+
+    private fun claim(replayed: SeatTable, nowMs: Long): List<SeatAction> {
+        val isFresh = nowMs - caughtUpAtMs <= settings.claimRetryMs
+        if (draining || !isFresh || nowMs < claimAfterMs) return emptyList()
+        val claims = teamIds.flatMap { claimsOf(it, replayed, nowMs) }.take(MAX_CLAIMS_IN_RECORD)
+        if (claims.isEmpty()) return emptyList()
+        claimAfterMs = nowMs + settings.claimRetryMs
+        return listOf(SeatAction.Append(SeatRecord.Claimed(self, newSequence(nowMs), claims)))
+    }
+
+    private fun claimsOf(teamId: TeamId, replayed: SeatTable, nowMs: Long): List<SeatClaim> {
+        val claimable = seatIds(teamId).filter { isClaimable(replayed, it, nowMs) }
+        if (claimable.isEmpty()) return emptyList()
+        val candidates = claimCandidates(teamId, replayed)
+        val ownRank = candidates.indexOf(self.vmId)
+        if (ownRank < 0) return emptyList()
+        return claimable
+            .filterIndexed { order, seatId ->
+                val delayRank = Math.floorMod(ownRank - order, candidates.size)
+                nowMs >= claimableSinceMs.getValue(seatId) + delayRank * settings.claimStaggerMs
+            }.map { SeatClaim(it, replayed.versionOf(it)) }
+    }
+
+    /** The live VMs, those with the fewest seats of the team first. */
+    private fun claimCandidates(teamId: TeamId, replayed: SeatTable): List<VmId> {
+        val seatCounts = seatIds(teamId).mapNotNull { replayed.seat(it)?.holder?.vmId }.groupingBy { it }.eachCount()
+        return rankByRendezvous(teamId.value, liveVms).sortedBy { seatCounts[it] ?: 0 }
+    }
+
+    private fun isClaimable(replayed: SeatTable, seatId: SeatId, nowMs: Long): Boolean {
+        val holder = replayed.seat(seatId)?.holder
+        val isClaimable = holder == null || holder != self && hasLapsed(holder, nowMs)
+        if (isClaimable) claimableSinceMs.putIfAbsent(seatId, nowMs) else claimableSinceMs.remove(seatId)
+        return isClaimable
+    }
+
+    /** A holder known only from a snapshot counts from the moment at which this process first met it. */
+    private fun hasLapsed(holder: HolderId, nowMs: Long): Boolean =
+        nowMs >= leaseFirstReadMs.getOrPut(holder) { nowMs } + settings.termExpiryMs
+
+    /** Gives one seat back when another VM has none of a team of which this one holds several. */
+    private fun rebalance(replayed: SeatTable, nowMs: Long): List<SeatAction> {
+        if (draining || nowMs < rebalanceAfterMs || nowMs - caughtUpAtMs > settings.claimRetryMs) return emptyList()
+        rebalanceAfterMs = nowMs + settings.rebalanceIntervalMs
+        val surplus = keptSeats()
+            .groupBy { it.teamId }
+            .filter { (teamId, seats) -> seats.size > 1 && hasSettledVmWithoutSeat(teamId, replayed, nowMs) }
+        val seatId = surplus.values.firstOrNull()?.maxByOrNull { it.index } ?: return emptyList()
+        return listOf(closeForRelease(seatId))
+    }
+
+    private fun hasSettledVmWithoutSeat(teamId: TeamId, replayed: SeatTable, nowMs: Long): Boolean {
+        val holders = seatIds(teamId).mapNotNullTo(HashSet()) { replayed.seat(it)?.holder?.vmId }
+        return liveVms.any { it !in holders && nowMs - liveSinceMs.getValue(it) >= settings.rebalanceIntervalMs }
+    }
+
+    private fun seatIds(teamId: TeamId) = List(settings.seatsPerTeam) { SeatId(teamId, it) }
+
+    private fun newSequence(nowMs: Long): Long {
+        val sequence = nextSequence++
+        askMsBySequence[sequence] = nowMs
+        if (askMsBySequence.size > MAX_OPEN_APPENDS) askMsBySequence.remove(askMsBySequence.keys.first())
+        return sequence
+    }
+
+    private companion object {
+        const val MAX_CLAIMS_IN_RECORD = 200
+        const val MAX_OPEN_APPENDS = 1_000
+        const val SNAPSHOT_STAGGER_RECORDS = 50L
+    }
+}
+
+private val SeatRecord.writer: HolderId?
+    get() = when (this) {
+        is SeatRecord.Renewed -> holder
+        is SeatRecord.Claimed -> holder
+        is SeatRecord.Released -> holder
+        is SeatRecord.Snapshot, is SeatRecord.HistoryLost -> null
+    }
+
+private val SeatRecord.writtenSequence: Long?
+    get() = when (this) {
+        is SeatRecord.Renewed -> sequence
+        is SeatRecord.Claimed -> sequence
+        is SeatRecord.Released -> sequence
+        is SeatRecord.Snapshot, is SeatRecord.HistoryLost -> null
+    }
--- /dev/null
+++ b/rates/src/main/kotlin/io/daisybend/rates/SeatRecord.kt
@@ -0,0 +1,112 @@
+/*
+ * The records of a cell's seat stream in the platform's log, and the identity of those who write them. Every record
+ * also renews the term of its writer.
+ */
+package io.daisybend.rates
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.daisybend.kernel.Failure
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.VmId
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+
+/** One process on a VM; a later process on the same VM has a larger [incarnation]. */
+@Serializable
+public data class HolderId(val vmId: VmId, val incarnation: Long)
+
+/** One of the seats of a team. */
+@Serializable
+public data class SeatId(val teamId: TeamId, val index: Int)
+
+/** A claim to a seat whose last change stood at [expectedVersion]. */
+@Serializable
+public data class SeatClaim(val seatId: SeatId, val expectedVersion: Long)
+
+/** The release of a seat that was claimed at [claimOffset], with what its bucket held. */
+@Serializable
+public data class SeatRelease(val seatId: SeatId, val claimOffset: Long, val balanceMicroTokens: Long)
+
+/** The replayed state of one seat. */
+@Serializable
+public data class SeatState(
+    val seatId: SeatId,
+    val holder: HolderId?,
+    val versionOffset: Long,
+    val balanceMicroTokens: Long = 0,
+)
+
+/** The offset of a writer's latest record. */
+@Serializable
+public data class HolderLease(val holder: HolderId, val offset: Long)
+
+/** A record of the seat stream. */
+@Serializable
+public sealed interface SeatRecord {
+    /** Extends the writer's term. */
+    @Serializable
+    @SerialName("renewed")
+    public data class Renewed(val holder: HolderId, val sequence: Long) : SeatRecord
+
+    /** Claims seats; each claim is valid when the seat has not changed since its expected version. */
+    @Serializable
+    @SerialName("claimed")
+    public data class Claimed(val holder: HolderId, val sequence: Long, val claims: List<SeatClaim>) : SeatRecord
+
+    /** Gives seats back with their balance. */
+    @Serializable
+    @SerialName("released")
+    public data class Released(val holder: HolderId, val sequence: Long, val releases: List<SeatRelease>) : SeatRecord
+
+    /** The state of all seats before [nextOffset]; readers that start late begin here. */
+    @Serializable
+    @SerialName("snapshot")
+    public data class Snapshot(
+        val nextOffset: Long,
+        val seats: List<SeatState>,
+        val leases: List<HolderLease>,
+        val lostHistory: Boolean,
+    ) : SeatRecord
+
+    /** Declares that the records before [nextOffset] are no longer kept and that no term from then can still run. */
+    @Serializable
+    @SerialName("historyLost")
+    public data class HistoryLost(val nextOffset: Long) : SeatRecord
+}
+
+/** Bytes that are no message of this module. */
+public data class MalformedRateBytes(override val message: String) : Failure
+
+@OptIn(ExperimentalSerializationApi::class)
+private val cbor = Cbor { ignoreUnknownKeys = true }
+
+/** Encodes this record for the platform's log. */
+public fun SeatRecord.encode(): ByteArray = encodeCbor(SeatRecord.serializer(), this)
+
+/** Decodes a record of the seat stream; fails with [MalformedRateBytes] when the bytes are none. */
+public fun decodeSeatRecord(bytes: ByteArray): Result<SeatRecord, MalformedRateBytes> =
+    decodeCbor(SeatRecord.serializer(), bytes)
+
+@OptIn(ExperimentalSerializationApi::class)
+internal fun <T> encodeCbor(serializer: KSerializer<T>, value: T): ByteArray = cbor.encodeToByteArray(serializer, value)
+
+@OptIn(ExperimentalSerializationApi::class)
+internal fun <T> decodeCbor(serializer: KSerializer<T>, bytes: ByteArray): Result<T, MalformedRateBytes> = try {
+    Ok(cbor.decodeFromByteArray(serializer, bytes))
+} catch (e: SerializationException) {
+    Err(malformed(serializer, bytes, e))
+} catch (e: IllegalArgumentException) {
+    Err(malformed(serializer, bytes, e))
+} catch (e: IndexOutOfBoundsException) {
+    Err(malformed(serializer, bytes, e))
+}
+
+private fun malformed(serializer: KSerializer<*>, bytes: ByteArray, cause: Exception) = MalformedRateBytes(
+    "expected CBOR of ${serializer.descriptor.serialName}, got ${bytes.size} bytes: ${cause.message}",
+)
--- /dev/null
+++ b/rates/src/test/kotlin/io/daisybend/rates/NaiveLimiters.kt
@@ -0,0 +1,124 @@
+/*
+ * Limiters that lack one or all of the mechanisms; the checker has to find overshoot with each.
+ */
+package io.daisybend.rates
+
+import io.daisybend.kernel.RequestId
+import io.daisybend.kernel.VmId
+
+/** A plain token bucket that starts full. */
+internal class NaiveBucket(private val limits: TeamLimits) {
+    private var milliTokens = limits.burstTokens * MILLI
+    private var refilledToMs: Long? = null
+
+    fun take(tokens: Long, nowMs: Long): Boolean {
+        val elapsedMs = nowMs - (refilledToMs ?: nowMs)
+        refilledToMs = nowMs
+        milliTokens = minOf(limits.burstTokens * MILLI, milliTokens + elapsedMs * limits.rateTokensPerSecond)
+        if (milliTokens < tokens * MILLI) return false
+        milliTokens -= tokens * MILLI
+        return true
+    }
+
+    fun giveBack(tokens: Long) {
+        milliTokens = minOf(limits.burstTokens * MILLI, milliTokens + tokens * MILLI)
+    }
+
+    private companion object {
+        const val MILLI = 1_000L
+    }
+}
+
+/** Every VM has an equal part of the limits. */
+internal class NaiveStaticSplit(vmCount: Int, limits: TeamLimits) : TestedLimiter {
+    private val bucket =
+        NaiveBucket(TeamLimits(limits.rateTokensPerSecond / vmCount, limits.burstTokens / vmCount))
+    private val reserved = HashMap<RequestId, Long>()
+
+    override val readFromOffset: Long = 0
+
+    override fun handle(event: RateEvent, nowMs: Long): List<RateAction> = when (event) {
+        is RateEvent.Reserve -> listOf(admitOrRefuse(event.requestId, event.tokens, bucket.take(event.tokens, nowMs)))
+        is RateEvent.Settle -> {
+            reserved.remove(event.requestId)?.let { bucket.giveBack(it - event.usedTokens) }
+            emptyList()
+        }
+        else -> emptyList()
+    }
+
+    private fun admitOrRefuse(requestId: RequestId, tokens: Long, isTaken: Boolean): RateAction {
+        if (isTaken) reserved[requestId] = tokens
+        return if (isTaken) RateAction.Admitted(requestId, 0) else refusal(requestId)
+    }
+}
+
+/** The first VM has the whole bucket; a grant is good whenever it arrives. */
+internal class NaiveUnboundedGrants(private val self: HolderId, limits: TeamLimits) : TestedLimiter {
+    private val bucket = NaiveBucket(limits)
+    private val requests = ArrayList<RequestId>()
+
+    override val readFromOffset: Long = 0
+
+    override fun handle(event: RateEvent, nowMs: Long): List<RateAction> = when (event) {
+        is RateEvent.Reserve -> listOf(ask(event))
+        is RateEvent.MessageReceived -> receive(event.message, nowMs)
+        else -> emptyList()
+    }
+
+    private fun ask(event: RateEvent.Reserve): RateAction {
+        requests += event.requestId
+        val number = requests.lastIndex.toLong()
+        return RateAction.Send(holder.vmId, RateMessage.Ask(event.teamId, self, number, holder, 0, event.tokens))
+    }
+
+    private fun receive(message: RateMessage, nowMs: Long): List<RateAction> = when (message) {
+        is RateMessage.Ask -> {
+            val granted = if (bucket.take(message.wantedMicroTokens, nowMs)) message.wantedMicroTokens else 0
+            val grant = RateMessage.Grant(message.teamId, message.asker, message.askNumber, 0, granted, 0)
+            listOf(RateAction.Send(message.asker.vmId, grant))
+        }
+        is RateMessage.Grant -> listOfNotNull(admitOnce(message))
+        is RateMessage.Settlements -> emptyList()
+    }
+
+    private fun admitOnce(grant: RateMessage.Grant): RateAction? {
+        if (grant.asker != self) return null
+        val requestId = requests[grant.askNumber.toInt()]
+        if (requestId == answered) return null
+        requests[grant.askNumber.toInt()] = answered
+        return if (grant.grantedMicroTokens > 0) RateAction.Admitted(requestId, 0) else refusal(requestId)
+    }
+
+    private companion object {
+        val holder = HolderId(VmId("vm-0"), 0)
+        val answered = RequestId("answered")
+    }
+}
+
+/** The real limiter, but a holder counts every grant as used at once instead of keeping it outstanding. */
+internal class ForgottenGrants(self: HolderId) : TestedLimiter {
+    private val limiter = RealLimiter(self, shortSettings.copy(grantValidityMs = 2_500, askTimeoutMs = 2_400))
+
+    override val readFromOffset: Long get() = limiter.readFromOffset
+
+    override fun handle(event: RateEvent, nowMs: Long): List<RateAction> {
+        val actions = limiter.handle(event, nowMs)
+        if (event is RateEvent.MessageReceived && event.message is RateMessage.Ask) forget(event.message, nowMs)
+        return actions
+    }
+
+    private fun forget(ask: RateMessage.Ask, nowMs: Long) {
+        val used = listOf(SettledGrant(ask.askNumber, ask.seatIndex))
+        val settlements = RateMessage.Settlements(ask.teamId, ask.asker, ask.holder, used)
+        limiter.handle(RateEvent.MessageReceived(settlements), nowMs)
+    }
+}
+
+/** The real limiter, but the first VM's own term never ends. */
+internal class EndlessTermOnFirstVm(self: HolderId) : TestedLimiter by RealLimiter(
+    self,
+    if (self.vmId == VmId("vm-0")) shortSettings.copy(termMs = 1_000_000) else shortSettings,
+)
+
+private fun refusal(requestId: RequestId) =
+    RateAction.Refused(requestId, RateRefusal.RateExceeded(0, 0), retryAfterMs = null)
--- /dev/null
+++ b/rates/src/test/kotlin/io/daisybend/rates/WrongfulRefusals.kt
@@ -0,0 +1,192 @@
+/*
+ * Measures wrongful refusals: requests that were refused although one bucket for the whole fleet, given the same
+ * requests, would have admitted them. `main` prints a table; WrongfulRefusalsTest holds the bounds.
+ */
+package io.daisybend.rates
+
+import io.daisybend.kernel.RequestId
+import kotlin.math.ln
+import kotlin.random.Random
+
+internal enum class CallerPattern { EVERY_VM, ONE_VM, MOVING, SEAT_HOLDERS }
+
+internal enum class Churn { NONE, KILL_AND_RESTART, KILL_FOR_LONG, PLANNED_REPLACEMENT, LOG_OUTAGE }
+
+internal data class RefusalScenario(
+    val callers: CallerPattern,
+    val churn: Churn = Churn.NONE,
+    val vmCount: Int = 9,
+    val seatsPerTeam: Int = 3,
+    val loadPercent: Int = 85,
+    val durationMs: Long = 3_600_000,
+    val isStaticSplit: Boolean = false,
+    val termMs: Long = RateSettings().termMs,
+)
+
+internal data class RefusalCount(
+    val offered: Int,
+    val wrongful: Int,
+    val idealRefused: Int,
+    val asks: Long,
+    val withoutMessages: Long,
+    val overshoot: Overshoot?,
+) {
+    val wrongfulPercent: Double get() = 100.0 * wrongful / offered
+}
+
+private val limits = TeamLimits(rateTokensPerSecond = 2_000, burstTokens = 10_000)
+private const val CHURN_INTERVAL_MS = 120_000L
+private const val WARM_UP_MS = 20_000L
+
+internal fun countRefusals(scenario: RefusalScenario, seed: Long): RefusalCount {
+    val random = Random(seed)
+    val settings = RateSettings(seatsPerTeam = scenario.seatsPerTeam, termMs = scenario.termMs)
+    val limiters = ArrayList<RateLimiter>()
+    val harness = RateHarness(
+        vmCount = scenario.vmCount,
+        random = random,
+        faults = Faults(maxDelayMs = 2, maxClockOffsetMs = 1_000, maxDriftPerMille = 0.1),
+        periods = listOf(LimitsPeriod(0, limits)),
+        tickMs = 20,
+        pollMs = 1_000,
+        createLimiter = { holder ->
+            if (scenario.isStaticSplit) {
+                NaiveStaticSplit(scenario.vmCount, limits)
+            } else {
+                RealLimiter(holder, settings).also { limiters += it.limiter }
+            }
+        },
+    )
+    harness.vms.forEach { harness.start(it) }
+    harness.tellLiveVms()
+    harness.runUntil(WARM_UP_MS)
+    val ideal = IdealBucket()
+    scheduleChurn(harness, scenario, random)
+    val offeredIds = offerRequests(harness, scenario, random, ideal)
+    harness.runUntil(WARM_UP_MS + scenario.durationMs + 5_000)
+    val counters = limiters.fold(RateCounters()) { sum, limiter -> sum + limiter.counters() }
+    return RefusalCount(
+        offered = offeredIds.size,
+        wrongful = harness.refusedIds.count { it in ideal.admittedIds },
+        idealRefused = offeredIds.size - ideal.admittedIds.size,
+        asks = counters.asksSent,
+        withoutMessages = counters.admittedWithoutMessages,
+        overshoot = harness.checker.overshoot,
+    )
+}
+
+/** One bucket that sees every request without delay. */
+private class IdealBucket {
+    val admittedIds = HashSet<RequestId>()
+    private val holder = HolderId(io.daisybend.kernel.VmId("ideal"), 0)
+    private val bucket = SeatBucket(
+        SeatShare(limits.rateTokensPerSecond * 1_000, limits.burstTokens * MICRO_TOKENS_PER_TOKEN),
+        limits.burstTokens * MICRO_TOKENS_PER_TOKEN,
+        refillFromMs = 0,
+    )
+
+    fun offer(requestId: RequestId, number: Long, tokens: Long, nowMs: Long) {
+        if (bucket.balanceMicroTokens(nowMs) < tokens * MICRO_TOKENS_PER_TOKEN) return
+        admittedIds += requestId
+        bucket.grant(GrantId(holder, number), tokens * MICRO_TOKENS_PER_TOKEN, Long.MAX_VALUE, nowMs)
+        bucket.confirm(GrantId(holder, number), nowMs)
+    }
+
+    fun settle(number: Long, returnedTokens: Long, nowMs: Long) =
+        bucket.settle(GrantId(holder, number), returnedTokens * MICRO_TOKENS_PER_TOKEN, nowMs)
+}
+
+/** Offers requests of 100 to 900 tokens, of which between half and all are used, at random moments. */
+private fun offerRequests(
+    harness: RateHarness,
+    scenario: RefusalScenario,
+    random: Random,
+    ideal: IdealBucket,
+): List<RequestId> {
+    val offeredIds = ArrayList<RequestId>()
+    val meanGapMs = 1_000.0 * MEAN_USED_TOKENS / (limits.rateTokensPerSecond * scenario.loadPercent / 100.0)
+    var atMs = 0.0
+    while (true) {
+        atMs += -ln(1 - random.nextDouble()) * meanGapMs
+        if (atMs >= scenario.durationMs) return offeredIds
+        val tokens = random.nextLong(100, 901)
+        val usedTokens = random.nextLong(tokens / 2, tokens + 1)
+        val holdMs = random.nextLong(500, 3_000)
+        val number = atMs.toLong() * 1_000 + offeredIds.size % 1_000
+        harness.schedule(atMs.toLong()) {
+            val vm = callersVm(harness, scenario, random) ?: return@schedule
+            val requestId = harness.offer(vm, tokens, usedTokens, holdMs)
+            offeredIds += requestId
+            ideal.offer(requestId, number, tokens, harness.nowMs)
+            harness.schedule(holdMs) { ideal.settle(number, tokens - usedTokens, harness.nowMs) }
+        }
+    }
+}
+
+private const val MEAN_USED_TOKENS = 375.0
+
+private fun callersVm(harness: RateHarness, scenario: RefusalScenario, random: Random): RateHarness.Vm? {
+    val live = harness.vms.filter { it.isAlive }
+    return when (scenario.callers) {
+        CallerPattern.EVERY_VM -> live.random(random)
+        CallerPattern.ONE_VM -> live.first()
+        CallerPattern.MOVING -> live[(harness.nowMs / 10_000 % live.size).toInt()]
+        CallerPattern.SEAT_HOLDERS -> seatHolders(live, harness).ifEmpty { live }.random(random)
+    }
+}
+
+private fun seatHolders(live: List<RateHarness.Vm>, harness: RateHarness): List<RateHarness.Vm> {
+    val known = (live.last().limiter as? RealLimiter)?.limiter?.holdersOf(harness.teamId).orEmpty()
+    return live.filter { it.vmId in known }
+}
+
+private fun scheduleChurn(harness: RateHarness, scenario: RefusalScenario, random: Random) {
+    if (scenario.churn == Churn.NONE) return
+    if (scenario.churn == Churn.LOG_OUTAGE) {
+        harness.schedule(scenario.durationMs / 4) { harness.isLogUp = false }
+        harness.schedule(scenario.durationMs * 3 / 4) { harness.isLogUp = true }
+        return
+    }
+    (CHURN_INTERVAL_MS until scenario.durationMs step CHURN_INTERVAL_MS).forEach { atMs ->
+        harness.schedule(atMs) { churn(harness, scenario.churn, harness.vms.filter { it.isAlive }.random(random)) }
+    }
+}
+
+private fun churn(harness: RateHarness, churn: Churn, vm: RateHarness.Vm) = when (churn) {
+    Churn.KILL_AND_RESTART -> stopAndRestart(harness, vm, afterMs = 5_000)
+    Churn.KILL_FOR_LONG -> stopAndRestart(harness, vm, afterMs = 100_000)
+    Churn.PLANNED_REPLACEMENT -> {
+        harness.drain(vm)
+        harness.schedule(10_000) { stopAndRestart(harness, vm, afterMs = 5_000) }
+    }
+    else -> Unit
+}
+
+private fun stopAndRestart(harness: RateHarness, vm: RateHarness.Vm, afterMs: Long) {
+    harness.kill(vm)
+    harness.schedule(3_000) { harness.tellLiveVms() }
+    harness.schedule(afterMs) {
+        harness.start(vm)
+        harness.tellLiveVms()
+    }
+}
+
+fun main() {
+    println("seats vms callers churn split | offered ideal-refused wrongful % asks/request without-messages overshoot")
+    val scenarios = listOf(3, 5, 9).flatMap { seats ->
+        CallerPattern.entries.map { RefusalScenario(it, seatsPerTeam = seats) } +
+            Churn.entries.drop(1).map { RefusalScenario(CallerPattern.SEAT_HOLDERS, it, seatsPerTeam = seats) }
+    } + CallerPattern.entries.map { RefusalScenario(it, vmCount = 12, seatsPerTeam = 3) } +
+        listOf(CallerPattern.EVERY_VM, CallerPattern.ONE_VM).map { RefusalScenario(it, isStaticSplit = true) }
+    scenarios.forEach { scenario ->
+        val count = countRefusals(scenario, seed = 1)
+        println(
+            "%d %d %s %s %s | %d %d %d %.3f%% %.2f %.0f%% %s".format(
+                scenario.seatsPerTeam, scenario.vmCount, scenario.callers, scenario.churn,
+                if (scenario.isStaticSplit) "static" else "seats", count.offered, count.idealRefused, count.wrongful,
+                count.wrongfulPercent, count.asks.toDouble() / count.offered,
+                100.0 * count.withoutMessages / count.offered, count.overshoot ?: "0",
+            ),
+        )
+    }
+}
