--- a/rates/src/main/kotlin/io/daisybend/rates/RateLimiter.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/RateLimiter.kt
@@ -36,8 +36,7 @@
             withTeam(event.teamId) { it.settle(event.requestId, event.usedTokens, nowMs) }
             emptyList()
         }
-        is RateEvent.MessageReceived ->
-            withTeam(event.message.teamId) { it.receive(event.message, nowMs) }.orEmpty()
+        is RateEvent.MessageReceived -> receive(event.message, nowMs)
         is RateEvent.LimitsChanged -> changeLimits(event.limits, nowMs)
         is RateEvent.LiveVmsChanged -> handleSeats(SeatEvent.LiveVmsChanged(event.vmIds), nowMs)
         is RateEvent.LogRead ->
@@ -59,6 +58,11 @@
         synchronized(shard) { shard.teams.values.sumOf { it.entryCount } }
     }
 
+    private fun receive(message: RateMessage, nowMs: Long): List<RateAction> = when (message) {
+        is RateMessage.OfTeam -> withTeam(message.teamId) { it.receive(message, nowMs) }.orEmpty()
+        is RateMessage.SupportAsk, is RateMessage.Support -> handleSeats(SeatEvent.MessageReceived(message), nowMs)
+    }
+
     private fun reserve(event: RateEvent.Reserve, nowMs: Long): List<RateAction> =
         withTeam(event.teamId) { it.reserve(event.requestId, event.tokens, nowMs) }
             ?: listOf(RateAction.Refused(event.requestId, RateRefusal.UnknownTeam(event.teamId), retryAfterMs = null))
@@ -89,6 +93,7 @@
     private fun apply(action: SeatAction, nowMs: Long): RateAction? {
         when (action) {
             is SeatAction.Append -> return RateAction.Append(stream, action.record)
+            is SeatAction.Send -> return RateAction.Send(action.toVmId, action.message)
             is SeatAction.Open -> withTeam(action.seatId.teamId) { it.openSeat(action) }
             is SeatAction.Extend ->
                 withTeam(action.seatId.teamId) { it.extendSeat(action.seatId.index, action.termEndMs) }
--- a/rates/src/main/kotlin/io/daisybend/rates/RateLimits.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/RateLimits.kt
@@ -21,8 +21,9 @@
 /** Times and counts that all VMs of a site share; a VM with other values would break the limits. */
 public data class RateSettings(
     val seatsPerTeam: Int = 3,
-    val termMs: Long = 600_000,
-    val renewIntervalMs: Long = 20_000,
+    val termMs: Long = 30_000,
+    val renewIntervalMs: Long = 10_000,
+    val longestExtensionMs: Long = 7_200_000,
     val grantValidityMs: Long = 2_000,
     val askTimeoutMs: Long = 250,
     val maxAskRounds: Int = 3,
@@ -38,6 +39,9 @@
     /** The time after which a holder's term has certainly ended, counted by another clock from a later moment. */
     internal val termExpiryMs: Long get() = withDriftMargin(termMs)
 
+    /** The time after which no extension can still run, counted by another clock from a later moment. */
+    internal val extensionExpiryMs: Long get() = withDriftMargin(longestExtensionMs)
+
     private fun withDriftMargin(durationMs: Long) = durationMs + durationMs / DRIFT_DIVISOR + CLOCK_MARGIN_MS
 
     private companion object {
--- a/rates/src/main/kotlin/io/daisybend/rates/RateMessage.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/RateMessage.kt
@@ -9,11 +9,25 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** A message about the tokens of one team between two VMs. */
+/** A message about rates between two VMs. */
 @Serializable
 public sealed interface RateMessage {
-    /** The team whose tokens are meant. */
-    public val teamId: TeamId
+    /** A message about the tokens of one team. */
+    @Serializable
+    public sealed interface OfTeam : RateMessage {
+        /** The team whose tokens are meant. */
+        public val teamId: TeamId
+    }
+
+    /** Asks a witness to support [holder], whose latest known record stands at [leaseOffset], without the log. */
+    @Serializable
+    @SerialName("supportAsk")
+    public data class SupportAsk(val holder: HolderId, val leaseOffset: Long, val round: Long) : RateMessage
+
+    /** [witness] will not suspect [holder] for a term from its receipt of the ask of [round]. */
+    @Serializable
+    @SerialName("support")
+    public data class Support(val witness: HolderId, val holder: HolderId, val round: Long) : RateMessage
 
     /** Asks [holder] for up to [wantedMicroTokens] from its seat [seatIndex]. */
     @Serializable
@@ -25,7 +39,7 @@
         val holder: HolderId,
         val seatIndex: Int,
         val wantedMicroTokens: Long,
-    ) : RateMessage
+    ) : OfTeam
 
     /** Answers ask [askNumber]; [balanceMicroTokens] is what the seat still holds. */
     @Serializable
@@ -37,7 +51,7 @@
         val seatIndex: Int,
         val grantedMicroTokens: Long,
         val balanceMicroTokens: Long,
-    ) : RateMessage
+    ) : OfTeam
 
     /** Tells [holder] what became of its grants to [asker]. */
     @Serializable
@@ -47,7 +61,7 @@
         val asker: HolderId,
         val holder: HolderId,
         val grants: List<SettledGrant>,
-    ) : RateMessage
+    ) : OfTeam
 }
 
 /** What became of one grant: admitted and still running when [returnedMicroTokens] is null, otherwise over. */
--- a/rates/src/main/kotlin/io/daisybend/rates/SeatLeases.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/SeatLeases.kt
@@ -3,7 +3,9 @@
  * that renews it was sent; every other process counts that term from the moment at which it first read the record, and
  * longer by the clocks' drift, so a successor starts only after the holder has stopped. A successor gets the balance
  * that a release record carries, otherwise an empty bucket, and in both cases refills it only after the predecessor's
- * last grants have expired. Without the log nobody can claim, and holders go on until their term ends.
+ * last grants have expired. While the log does not answer, a holder asks its witnesses to support it for another term.
+ * A witness that supports a holder suspects it no earlier than a term later, and one that has suspected it supports it
+ * no more; an extension takes more than half of the witnesses and a claim the suspicion of the other half, so never both.
  */
 package io.daisybend.rates
 
@@ -22,6 +24,8 @@
 
     data class LogRead(val records: List<OffsetRecord>, val firstOffset: Long, val nextOffset: Long) : SeatEvent
 
+    data class MessageReceived(val message: RateMessage) : SeatEvent
+
     data class SeatEmptied(val seatId: SeatId, val claimOffset: Long, val balanceMicroTokens: Long) : SeatEvent
 
     data object Drain : SeatEvent
@@ -32,6 +36,8 @@
 internal sealed interface SeatAction {
     data class Append(val record: SeatRecord) : SeatAction
 
+    data class Send(val toVmId: VmId, val message: RateMessage) : SeatAction
+
     /** Opens a bucket; a null balance means a full one. */
     data class Open(
         val seatId: SeatId,
@@ -62,6 +68,7 @@
 
     private var table: SeatTable? = null
     private var scannedHistoryLost: SeatRecord.HistoryLost? = null
+    private var scannedRecords = 0
     private var scannedToTailSinceMs: Long? = null
     private var teamIds: Set<TeamId> = emptySet()
     private var liveVms: List<VmId> = emptyList()
@@ -76,8 +83,10 @@
     private var caughtUpAtMs = Long.MIN_VALUE / 2
     private var renewAfterMs = Long.MIN_VALUE
     private var claimAfterMs = Long.MIN_VALUE
+    private var suspectAfterMs = Long.MIN_VALUE
     private var rebalanceAfterMs = Long.MIN_VALUE
     private var snapshotAfterMs = Long.MIN_VALUE
+    private val extension = TermExtension(self, settings)
     private var isRegistered = false
     private var draining = false
 
@@ -88,6 +97,7 @@
         is SeatEvent.TeamsChanged -> changeTeams(event.teamIds)
         is SeatEvent.LiveVmsChanged -> noteLiveVms(event.vmIds, nowMs)
         is SeatEvent.LogRead -> readLog(event, nowMs)
+        is SeatEvent.MessageReceived -> receive(event.message, nowMs)
         is SeatEvent.SeatEmptied -> release(event, nowMs)
         SeatEvent.Drain -> drain()
         SeatEvent.Tick -> tick(nowMs)
@@ -122,6 +132,7 @@
     private fun scan(event: SeatEvent.LogRead, nowMs: Long) {
         if (event.firstOffset == 0L) return start(SeatTable.empty(nextOffset = 0, lostHistory = false))
         event.records.forEach { (_, record) ->
+            if (record !is SeatRecord.HistoryLost) scannedRecords++
             when (record) {
                 is SeatRecord.Snapshot ->
                     if (record.nextOffset >= event.firstOffset) return start(SeatTable.restore(record))
@@ -160,6 +171,7 @@
         pendingReleases.clear()
         table = null
         scannedHistoryLost = null
+        scannedRecords = 0
         scannedToTailSinceMs = null
         readFromOffset = 0
         return closed
@@ -174,13 +186,21 @@
         val writer = entry.record?.writer ?: return emptyList()
         leaseFirstReadMs[writer] = nowMs
         if (writer == self) isRegistered = true
-        val ownTermEndMs = entry.record.takeIf { writer == self }?.let { ownTermEndMs(it) }
+        val ownTermEndMs = entry.record.takeIf { writer == self }?.let { ownTermEndMs(it, entry.offset) }
         return lostSeats(replayed) + gainedSeats(replayed, entry.offset, unusedSeats, ownTermEndMs, nowMs) +
             extendedSeats(ownTermEndMs)
     }
 
-    private fun ownTermEndMs(record: SeatRecord): Long? {
-        val askedAtMs = record.writtenSequence?.let { askMsBySequence.remove(it) } ?: return null
+    private fun receive(message: RateMessage, nowMs: Long): List<SeatAction> = when (message) {
+        is RateMessage.SupportAsk -> listOfNotNull(extension.answer(message, nowMs))
+        is RateMessage.Support -> extendedSeats(extension.take(message))
+        is RateMessage.OfTeam -> emptyList()
+    }
+
+    private fun ownTermEndMs(record: SeatRecord, offset: Long): Long? {
+        val sequence = record.writtenSequence ?: return null
+        val askedAtMs = askMsBySequence.remove(sequence) ?: return null
+        extension.noteOwnRecord(sequence, offset, askedAtMs)
         return askedAtMs + settings.termMs
     }
 
@@ -256,23 +276,51 @@
 
     private fun tick(nowMs: Long): List<SeatAction> {
         val replayed = table ?: return declareLostHistory(nowMs)
-        return renew(nowMs) + appendReleases(nowMs) + writeSnapshot(replayed, nowMs) + claim(replayed, nowMs) +
+        return renew(replayed, nowMs) + askSupport(nowMs) + suspect(replayed, nowMs) + appendReleases(nowMs) +
+            writeSnapshot(replayed, nowMs) +
+            claim(replayed, nowMs) +
             rebalance(replayed, nowMs)
     }
 
     private fun declareLostHistory(nowMs: Long): List<SeatAction> {
         val sinceMs = scannedToTailSinceMs ?: return emptyList()
-        if (nowMs < sinceMs + settings.termExpiryMs) return emptyList()
+        val longestTermMs = if (scannedRecords == 0) settings.termExpiryMs else settings.extensionExpiryMs
+        if (nowMs < sinceMs + longestTermMs) return emptyList()
         scannedToTailSinceMs = nowMs
         return listOf(SeatAction.Append(SeatRecord.HistoryLost(readFromOffset)))
     }
 
-    private fun renew(nowMs: Long): List<SeatAction> {
+    private fun renew(replayed: SeatTable, nowMs: Long): List<SeatAction> {
         if (nowMs < renewAfterMs || (isRegistered && held.isEmpty())) return emptyList()
         renewAfterMs = nowMs + if (isRegistered) settings.renewIntervalMs else settings.claimRetryMs
-        return listOf(SeatAction.Append(SeatRecord.Renewed(self, newSequence(nowMs))))
+        val sequence = newSequence(nowMs)
+        val witnesses = replayed.processesOn(liveVms.filter { it != self.vmId })
+        val isKnown = replayed.lease(self)?.witnesses == witnesses && !extension.hasUnconfirmedWitnesses
+        if (!isKnown) extension.noteSentWitnesses(sequence, witnesses)
+        return listOf(SeatAction.Append(SeatRecord.Renewed(self, sequence, witnesses.takeUnless { isKnown })))
+    }
+
+    private fun askSupport(nowMs: Long): List<SeatAction> {
+        val isLogSilent = nowMs - extension.confirmedAskMs >= settings.termMs / 2
+        return if (held.isEmpty() || !isLogSilent) emptyList() else extension.askWitnesses(nowMs)
     }
 
+    private fun suspect(replayed: SeatTable, nowMs: Long): List<SeatAction> {
+        if (nowMs < suspectAfterMs || !isFresh(nowMs)) return emptyList()
+        suspectAfterMs = nowMs + settings.claimRetryMs
+        val suspicions = replayed.seats()
+            .mapNotNullTo(LinkedHashSet()) { it.holder }
+            .mapNotNull { replayed.lease(it) }
+            .filter { it.holder != self && self in it.witnesses && self !in it.suspectedBy }
+            .filter { hasLapsed(it.holder, nowMs) && !extension.isSupported(it.holder, nowMs) }
+            .map { Suspicion(it.holder, it.offset) }
+        if (suspicions.isEmpty()) return emptyList()
+        suspicions.forEach { extension.noteSuspicion(it) }
+        return listOf(SeatAction.Append(SeatRecord.Suspected(self, newSequence(nowMs), suspicions)))
+    }
+
+    private fun isFresh(nowMs: Long) = nowMs - caughtUpAtMs <= settings.claimRetryMs
+
     private fun appendReleases(nowMs: Long): List<SeatAction> {
         val due = pendingReleases.values.filter { it.appendAfterMs <= nowMs }
         if (due.isEmpty()) return emptyList()
@@ -290,8 +338,7 @@
     }
 
     private fun claim(replayed: SeatTable, nowMs: Long): List<SeatAction> {
-        val isFresh = nowMs - caughtUpAtMs <= settings.claimRetryMs
-        if (draining || !isFresh || nowMs < claimAfterMs) return emptyList()
+        if (draining || !isFresh(nowMs) || nowMs < claimAfterMs) return emptyList()
         val claims = teamIds.flatMap { claimsOf(it, replayed, nowMs) }.take(MAX_CLAIMS_IN_RECORD)
         if (claims.isEmpty()) return emptyList()
         claimAfterMs = nowMs + settings.claimRetryMs
@@ -308,7 +355,7 @@
             .filterIndexed { order, seatId ->
                 val delayRank = Math.floorMod(ownRank - order, candidates.size)
                 nowMs >= claimableSinceMs.getValue(seatId) + delayRank * settings.claimStaggerMs
-            }.map { SeatClaim(it, replayed.versionOf(it)) }
+            }.map { SeatClaim(it, replayed.versionOf(it), isOverdue = isOverdue(replayed, it, nowMs)) }
     }
 
     /** The live VMs, those with the fewest seats of the team first. */
@@ -319,18 +366,28 @@
 
     private fun isClaimable(replayed: SeatTable, seatId: SeatId, nowMs: Long): Boolean {
         val holder = replayed.seat(seatId)?.holder
-        val isClaimable = holder == null || holder != self && hasLapsed(holder, nowMs)
+        val isClaimable = holder == null ||
+            isOverdue(replayed, seatId, nowMs) ||
+            holder != self &&
+            hasLapsed(holder, nowMs) &&
+            replayed.isAbandoned(holder)
         if (isClaimable) claimableSinceMs.putIfAbsent(seatId, nowMs) else claimableSinceMs.remove(seatId)
         return isClaimable
     }
 
+    private fun isOverdue(replayed: SeatTable, seatId: SeatId, nowMs: Long): Boolean {
+        val holder = replayed.seat(seatId)?.holder ?: return false
+        return holder != self && nowMs >= firstReadMs(holder, nowMs) + settings.extensionExpiryMs
+    }
+
+    private fun hasLapsed(holder: HolderId, nowMs: Long) = nowMs >= firstReadMs(holder, nowMs) + settings.termExpiryMs
+
     /** A holder known only from a snapshot counts from the moment at which this process first met it. */
-    private fun hasLapsed(holder: HolderId, nowMs: Long): Boolean =
-        nowMs >= leaseFirstReadMs.getOrPut(holder) { nowMs } + settings.termExpiryMs
+    private fun firstReadMs(holder: HolderId, nowMs: Long) = leaseFirstReadMs.getOrPut(holder) { nowMs }
 
     /** Gives one seat back when another VM has none of a team of which this one holds several. */
     private fun rebalance(replayed: SeatTable, nowMs: Long): List<SeatAction> {
-        if (draining || nowMs < rebalanceAfterMs || nowMs - caughtUpAtMs > settings.claimRetryMs) return emptyList()
+        if (draining || nowMs < rebalanceAfterMs || !isFresh(nowMs)) return emptyList()
         rebalanceAfterMs = nowMs + settings.rebalanceIntervalMs
         val surplus = keptSeats()
             .groupBy { it.teamId }
@@ -365,6 +422,7 @@
         is SeatRecord.Renewed -> holder
         is SeatRecord.Claimed -> holder
         is SeatRecord.Released -> holder
+        is SeatRecord.Suspected -> holder
         is SeatRecord.Snapshot, is SeatRecord.HistoryLost -> null
     }
 
@@ -373,5 +431,6 @@
         is SeatRecord.Renewed -> sequence
         is SeatRecord.Claimed -> sequence
         is SeatRecord.Released -> sequence
+        is SeatRecord.Suspected -> sequence
         is SeatRecord.Snapshot, is SeatRecord.HistoryLost -> null
     }
--- a/rates/src/main/kotlin/io/daisybend/rates/SeatRecord.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/SeatRecord.kt
@@ -25,9 +25,16 @@
 @Serializable
 public data class SeatId(val teamId: TeamId, val index: Int)
 
-/** A claim to a seat whose last change stood at [expectedVersion]. */
+/**
+ * A claim to a seat whose last change stood at [expectedVersion]. An [isOverdue] claim needs no suspicions: its writer
+ * has not read anything from the holder for longer than any term can be extended.
+ */
+@Serializable
+public data class SeatClaim(val seatId: SeatId, val expectedVersion: Long, val isOverdue: Boolean = false)
+
+/** Says that [holder], whose latest record stands at [leaseOffset], gets no extension of its term from the writer. */
 @Serializable
-public data class SeatClaim(val seatId: SeatId, val expectedVersion: Long)
+public data class Suspicion(val holder: HolderId, val leaseOffset: Long)
 
 /** The release of a seat that was claimed at [claimOffset], with what its bucket held. */
 @Serializable
@@ -42,17 +49,36 @@
     val balanceMicroTokens: Long = 0,
 )
 
-/** The offset of a writer's latest record. */
+/** The replayed state of one writer: where its latest record stands and who may extend its term without the log. */
 @Serializable
-public data class HolderLease(val holder: HolderId, val offset: Long)
+public data class HolderLease(
+    val holder: HolderId,
+    val offset: Long,
+    val witnesses: List<HolderId> = emptyList(),
+    val witnessesSequence: Long = -1,
+    val suspectedBy: Set<HolderId> = emptySet(),
+)
 
 /** A record of the seat stream. */
 @Serializable
 public sealed interface SeatRecord {
-    /** Extends the writer's term. */
+    /** Extends the writer's term; [witnesses] replace the earlier ones unless null. */
     @Serializable
     @SerialName("renewed")
-    public data class Renewed(val holder: HolderId, val sequence: Long) : SeatRecord
+    public data class Renewed(
+        val holder: HolderId,
+        val sequence: Long,
+        val witnesses: List<HolderId>? = null,
+    ) : SeatRecord
+
+    /** Withdraws the writer's support from holders that have been silent for their term. */
+    @Serializable
+    @SerialName("suspected")
+    public data class Suspected(
+        val holder: HolderId,
+        val sequence: Long,
+        val suspicions: List<Suspicion>,
+    ) : SeatRecord
 
     /** Claims seats; each claim is valid when the seat has not changed since its expected version. */
     @Serializable
--- a/rates/src/main/kotlin/io/daisybend/rates/TeamRates.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/TeamRates.kt
@@ -38,7 +38,12 @@
 
     private class SeatReport(val balanceMicroTokens: Long, val atMs: Long)
 
-    private class Source(val seatIndex: Int, val holder: HolderId, val availableMicroTokens: Long)
+    private class Source(
+        val seatIndex: Int,
+        val holder: HolderId,
+        val availableMicroTokens: Long,
+        val preferenceMicroTokens: Long,
+    )
 
     private var share = limits.seatShare(settings.seatsPerTeam)
     private val heldSeats = HeldSeats(share)
@@ -101,7 +106,7 @@
         }
     }
 
-    fun receive(message: RateMessage, nowMs: Long): List<RateAction> = when (message) {
+    fun receive(message: RateMessage.OfTeam, nowMs: Long): List<RateAction> = when (message) {
         is RateMessage.Ask -> answer(message, nowMs)
         is RateMessage.Grant -> takeGrant(message, nowMs)
         is RateMessage.Settlements -> {
@@ -125,26 +130,41 @@
         return if (reservation.openAsks.isEmpty()) finishRound(reservation, nowMs) else asks
     }
 
-    /** The seats to draw from, best first. */
+    /** The seats to draw from, best first; seats that seem equally full come in an order of the request's own. */
     private fun sources(reservation: Pending, nowMs: Long): List<Source> {
-        val own = heldSeats.runningSeats(nowMs).map { Source(it, self, heldSeats.balanceMicroTokens(it, nowMs)) }
+        val own = heldSeats.runningSeats(nowMs).map { ownSource(it, nowMs) }
         val remote = holders.mapIndexedNotNull { index, holder ->
-            if (holder == null || holder.vmId == self.vmId) return@mapIndexedNotNull null
-            Source(index, holder, estimatedMicroTokens(index, nowMs))
+            if (holder == null || holder.vmId == self.vmId) null else remoteSource(index, holder, nowMs)
         }
+        val firstIndex = Math.floorMod(reservation.requestId.hashCode(), settings.seatsPerTeam)
         return (own + remote)
             .filter { it.availableMicroTokens > 0 && it.seatIndex !in reservation.exhaustedSeats }
-            .sortedByDescending { it.availableMicroTokens + if (it.holder == self) ownSeatBonus() else 0 }
+            .sortedWith(
+                compareByDescending<Source> { it.preferenceMicroTokens }
+                    .thenBy { Math.floorMod(it.seatIndex - firstIndex, settings.seatsPerTeam) },
+            )
     }
 
-    private fun ownSeatBonus() = share.capacityMicroTokens / OWN_SEAT_BONUS_DIVISOR
+    private fun ownSource(seatIndex: Int, nowMs: Long): Source {
+        val balance = heldSeats.balanceMicroTokens(seatIndex, nowMs)
+        return Source(seatIndex, self, balance, balance + share.capacityMicroTokens / OWN_SEAT_BONUS_DIVISOR)
+    }
 
-    private fun estimatedMicroTokens(seatIndex: Int, nowMs: Long): Long {
-        val report = reports[seatIndex] ?: return share.capacityMicroTokens
+    /** What an old report says is good enough to rank a seat, but not to do without asking its holder. */
+    private fun remoteSource(seatIndex: Int, holder: HolderId, nowMs: Long): Source {
+        val report = reports[seatIndex]
+            ?: return Source(seatIndex, holder, share.capacityMicroTokens, share.capacityMicroTokens)
         val ageMs = nowMs - report.atMs
-        if (ageMs > REPORT_LIFETIME_MS) return share.capacityMicroTokens
-        val estimate = report.balanceMicroTokens + ageMs * share.refillMicroTokensPerMs
-        return estimate.coerceAtMost(share.capacityMicroTokens)
+        val refilled = if (ageMs >
+            LONGEST_REFILL_MS
+        ) {
+            share.capacityMicroTokens
+        } else {
+            ageMs * share.refillMicroTokensPerMs
+        }
+        val estimate = (report.balanceMicroTokens + refilled).coerceAtMost(share.capacityMicroTokens)
+        val available = if (ageMs > REPORT_LIFETIME_MS) share.capacityMicroTokens else estimate
+        return Source(seatIndex, holder, available, estimate)
     }
 
     /** Takes from a seat held here at once; returns an ask for one held elsewhere. */
@@ -305,6 +325,7 @@
 
     private companion object {
         const val REPORT_LIFETIME_MS = 500L
+        const val LONGEST_REFILL_MS = 3_600_000L
         const val OWN_SEAT_BONUS_DIVISOR = 4
     }
 }
--- a/rates/src/test/kotlin/io/daisybend/rates/NaiveLimiters.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/NaiveLimiters.kt
@@ -78,7 +78,7 @@
             listOf(RateAction.Send(message.asker.vmId, grant))
         }
         is RateMessage.Grant -> listOfNotNull(admitOnce(message))
-        is RateMessage.Settlements -> emptyList()
+        else -> emptyList()
     }
 
     private fun admitOnce(grant: RateMessage.Grant): RateAction? {
--- a/rates/src/test/kotlin/io/daisybend/rates/RateScheduleTest.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/RateScheduleTest.kt
@@ -62,6 +62,7 @@
 internal val shortSettings = RateSettings(
     termMs = 1_500,
     renewIntervalMs = 300,
+    longestExtensionMs = 4_500,
     grantValidityMs = 200,
     askTimeoutMs = 60,
     claimStaggerMs = 100,
--- a/rates/src/test/kotlin/io/daisybend/rates/WrongfulRefusals.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/WrongfulRefusals.kt
@@ -171,22 +171,44 @@
     }
 }
 
-fun main() {
-    println("seats vms callers churn split | offered ideal-refused wrongful % asks/request without-messages overshoot")
-    val scenarios = listOf(3, 5, 9).flatMap { seats ->
-        CallerPattern.entries.map { RefusalScenario(it, seatsPerTeam = seats) } +
-            Churn.entries.drop(1).map { RefusalScenario(CallerPattern.SEAT_HOLDERS, it, seatsPerTeam = seats) }
-    } + CallerPattern.entries.map { RefusalScenario(it, vmCount = 12, seatsPerTeam = 3) } +
-        listOf(CallerPattern.EVERY_VM, CallerPattern.ONE_VM).map { RefusalScenario(it, isStaticSplit = true) }
-    scenarios.forEach { scenario ->
-        val count = countRefusals(scenario, seed = 1)
-        println(
-            "%d %d %s %s %s | %d %d %d %.3f%% %.2f %.0f%% %s".format(
-                scenario.seatsPerTeam, scenario.vmCount, scenario.callers, scenario.churn,
-                if (scenario.isStaticSplit) "static" else "seats", count.offered, count.idealRefused, count.wrongful,
-                count.wrongfulPercent, count.asks.toDouble() / count.offered,
-                100.0 * count.withoutMessages / count.offered, count.overshoot ?: "0",
-            ),
-        )
+/** Prints one line for each scenario; arguments are `seats,vms,callers,churn,load percent` of single scenarios. */
+fun main(args: Array<String>) {
+    println("seats,vms,callers,churn,load split | offered ideal-refused wrongful % asks/request no-message overshoot")
+    val scenarios = if (args.isEmpty()) allScenarios() else args.map { parseScenario(it) }
+    scenarios.parallelStream().map { lineOf(it) }.toList().forEach { println(it) }
+}
+
+private fun allScenarios(): List<RefusalScenario> = listOf(3, 5, 9).flatMap { seats ->
+    CallerPattern.entries.map { RefusalScenario(it, seatsPerTeam = seats) } +
+        CallerPattern.entries.map { RefusalScenario(it, seatsPerTeam = seats, loadPercent = 70) } +
+        Churn.entries.drop(1).map { RefusalScenario(CallerPattern.SEAT_HOLDERS, it, seatsPerTeam = seats) } +
+        Churn.entries.drop(1).map {
+            RefusalScenario(CallerPattern.SEAT_HOLDERS, it, seatsPerTeam = seats, loadPercent = 70)
+        }
+} + CallerPattern.entries.map { RefusalScenario(it, vmCount = 12, loadPercent = 70) } +
+    listOf(70, 85).flatMap { load ->
+        listOf(CallerPattern.EVERY_VM, CallerPattern.ONE_VM).map {
+            RefusalScenario(it, isStaticSplit = true, loadPercent = load)
+        }
     }
+
+private fun parseScenario(text: String): RefusalScenario {
+    val (seats, vms, callers, churn, load) = text.split(',')
+    return RefusalScenario(
+        CallerPattern.valueOf(callers),
+        Churn.valueOf(churn),
+        vms.toInt(),
+        seats.toInt(),
+        load.toInt(),
+    )
+}
+
+private fun lineOf(scenario: RefusalScenario): String {
+    val count = countRefusals(scenario, seed = 1)
+    return "%d,%d,%s,%s,%d %s | %d %d %d %.3f%% %.2f %.0f%% %s".format(
+        scenario.seatsPerTeam, scenario.vmCount, scenario.callers, scenario.churn, scenario.loadPercent,
+        if (scenario.isStaticSplit) "static" else "seats", count.offered, count.idealRefused, count.wrongful,
+        count.wrongfulPercent, count.asks.toDouble() / count.offered,
+        100.0 * count.withoutMessages / count.offered, count.overshoot ?: "0",
+    )
 }
