--- a/configuration/src/main/kotlin/io/daisybend/configuration/FollowerMessages.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/FollowerMessages.kt
@@ -109,7 +109,7 @@
     val endRequestsAfterMs: Long = 1_000,
     val probeIntervalMs: Long = 1_000,
     val probesPerRound: Int = 3,
-    val probesPerRoundWithoutLog: Int = 12,
+    val probesPerRoundWithoutLog: Int = 8,
     val peerSnapshotTimeoutMs: Long = 3_000,
     val maxBatchRecords: Int = 500,
 ) {
