Wire at-most-once dispatch and stream resumption into the daemon

Cause: the thin dispatchers sent each request once, ignored the idempotency key, and took every broken connection for an unknown outcome.

Ruled out: the HTTP client's pooled connections for calls of plain services, since a kept connection may be closed at the other end and the client does not say at which step an exchange broke; the library's chunk decoder, which took a chunked answer that was cut between chunks for whole (seen in HttpServiceClientTest before the change).

Change: IdempotentCalls and IntentCoordinators drive the state machines over peer connections and the log; HttpServiceClient follows DispatchAttempt over a connection of its own; ResumingModelDispatcher feeds TokenStream. Answers carry not_run, in_progress, completed, failed or unknown, and X-Earlier-Calls where earlier calls could not be looked up.

A query to another gateway is given 2 s instead of 500 ms: on a busy machine the shorter time answered "unknown" once where the outcome was to be had.

--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -17,6 +17,12 @@
 import io.daisybend.daemon.admin.StatusLine
 import io.daisybend.daemon.admin.StatusSource
 import io.daisybend.daemon.admin.respondAdmin
+import io.daisybend.daemon.dispatch.AtMostOnceServiceDispatcher
+import io.daisybend.daemon.dispatch.DISPATCH_CHANNEL
+import io.daisybend.daemon.dispatch.IdempotentCalls
+import io.daisybend.daemon.dispatch.ResumingModelDispatcher
+import io.daisybend.daemon.dispatch.dispatchOnce
+import io.daisybend.daemon.dispatch.dispatchPeers
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -26,13 +32,12 @@
 import io.daisybend.daemon.lifecycle.LifecyclePhase
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
-import io.daisybend.daemon.thin.DirectModelDispatcher
-import io.daisybend.daemon.thin.DirectServiceDispatcher
 import io.daisybend.daemon.thin.ListedAddresses
 import io.daisybend.daemon.thin.LocalConfiguration
 import io.daisybend.daemon.thin.LocalModelAccess
 import io.daisybend.daemon.thin.LocalRateLimiter
 import io.daisybend.daemon.thin.ManifestRoutes
+import io.daisybend.dispatch.GatewayIncarnation
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.MillisClock
@@ -65,6 +70,7 @@
 import org.slf4j.LoggerFactory
 import java.nio.file.Files
 import java.nio.file.Path
+import java.security.SecureRandom
 
 /** A file that the settings name cannot be read. */
 public data class UnreadableSecret(val file: String) : Failure {
@@ -150,13 +156,22 @@
     private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
     private val configuration = LocalConfiguration(ports.log, timeline)
     private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val idempotentCalls = IdempotentCalls(
+        incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
+        log = ports.log,
+        peers = dispatchPeers(peers),
+        liveVms = addresses::liveVms,
+        scope = scope,
+        clock = clock,
+        dispatch = { call -> dispatchOnce(configuration, ports.services, call) },
+    )
     private val service = RequestService(
         steps = RequestSteps(
             authenticator = configuration,
             configuration = configuration,
             rates = LocalRateLimiter,
-            models = DirectModelDispatcher(modelAccess, ports.engines),
-            services = DirectServiceDispatcher(configuration, ports.services),
+            models = ResumingModelDispatcher(modelAccess, ports.engines, clock, timeline, scope),
+            services = AtMostOnceServiceDispatcher(configuration, ports.services, idempotentCalls),
             addresses = addresses,
         ),
         lifecycle = lifecycle,
@@ -184,7 +199,12 @@
     /** Starts serving; fails when no plug-in offers the caller protocol, throws when an address cannot be bound. */
     public suspend fun start(): Result<Unit, UnknownImplementation> = callers.map { callerInterface ->
         JvmMetrics.builder().register(metrics)
+        peers.handle(DISPATCH_CHANNEL) { _, payload ->
+            idempotentCalls.receive(payload)
+            ByteArray(0)
+        }
         peers.listen(settings[DaemonKeys.peerListen])
+        scope.launch { idempotentCalls.keepTime() }
         scope.launch { addresses.follow() }
         scope.launch { configuration.follow() }
         operators.start()
@@ -202,6 +222,7 @@
         ports.directory.register(ownEntry())
         delay(settings[DaemonKeys.addressLifetime])
         val idle = lifecycle.awaitIdle(settings[DaemonKeys.stopTimeout])
+        idempotentCalls.awaitRecorded(RECORDING_MS)
         lifecycle.advanceTo(LifecyclePhase.STOPPED)
         ports.directory.remove(vmId)
         timeline.record("daemon-stopped", detail = if (idle) "idle" else "${lifecycle.requestsInProgress} requests cut")
@@ -245,6 +266,7 @@
 
     private companion object {
         const val STOP_MS = 500L
+        const val RECORDING_MS = 5_000L
         const val STOP_POLL_MS = 50L
         val log = LoggerFactory.getLogger(Daemon::class.java)
     }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/HttpPlugins.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/HttpPlugins.kt
@@ -48,7 +48,7 @@
         registry.offer(EngineClient::class, HTTP, EndpointContext::class) {
             HttpEngineClient(it.client, it.controlTimeoutMs)
         }
-        registry.offer(ServiceClient::class, HTTP, EndpointContext::class) { HttpServiceClient(it.client) }
+        registry.offer(ServiceClient::class, HTTP, EndpointContext::class) { HttpServiceClient() }
     }
 }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcher.kt
@@ -0,0 +1,172 @@
+/*
+ * Calls of plain services. A repeatable call may be tried at every endpoint of its route, within a budget. A call that
+ * may not be repeated runs at most once: with an idempotency key over all VMs and repetitions, without one in a single
+ * attempt.
+ */
+package io.daisybend.daemon.dispatch
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.mapError
+import io.daisybend.configuration.EndpointSpec
+import io.daisybend.daemon.endpoint.ServiceClient
+import io.daisybend.daemon.endpoint.ServiceFailure
+import io.daisybend.daemon.request.ConfigurationView
+import io.daisybend.daemon.request.RequestFailure
+import io.daisybend.daemon.request.ServiceAnswer
+import io.daisybend.daemon.request.ServiceCall
+import io.daisybend.daemon.request.ServiceDispatcher
+import io.daisybend.dispatch.CallAnswer
+import io.daisybend.dispatch.CallRefusal
+import io.daisybend.dispatch.EarlierCalls
+import io.daisybend.dispatch.ExecutionStatus
+import io.daisybend.dispatch.RetryBudgets
+import io.daisybend.dispatch.StoredAnswer
+import io.daisybend.dispatch.StoredOutcome
+import io.daisybend.dispatch.fingerprintOf
+import io.daisybend.dispatch.requestKeyOf
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.rankByRendezvous
+import io.daisybend.daemon.request.ExecutionStatus as RequestExecution
+
+internal class AtMostOnceServiceDispatcher(
+    private val configuration: ConfigurationView,
+    private val services: ServiceClient,
+    private val calls: IdempotentCalls,
+    private val budgets: RetryBudgets = RetryBudgets(),
+) : ServiceDispatcher {
+    override suspend fun run(call: ServiceCall): Result<ServiceAnswer, RequestFailure> {
+        val key = call.idempotencyKey
+        return when {
+            call.route.repeatable -> runRepeatable(call)
+            key == null -> runOnce(call)
+            else -> runWithKey(call, key)
+        }
+    }
+
+    private suspend fun runRepeatable(call: ServiceCall): Result<ServiceAnswer, RequestFailure> {
+        var last: Result<ServiceAnswer, RequestFailure> = Err(noEndpoint(call))
+        for ((tries, endpoint) in endpointsFor(configuration, call).withIndex()) {
+            val allowed = if (tries == 0) countRequest(endpoint, call) else tryRetry(endpoint, call)
+            if (!allowed) return last
+            val result = services.call(endpoint, call)
+            last = result.mapError { it.toRequestFailure() }
+            if (result.isOk) return last
+        }
+        return last
+    }
+
+    private fun countRequest(endpoint: EndpointSpec, call: ServiceCall): Boolean {
+        budgets.countRequest(endpoint.endpointId, call.teamId)
+        return true
+    }
+
+    private fun tryRetry(endpoint: EndpointSpec, call: ServiceCall) =
+        budgets.tryRetry(endpoint.endpointId, call.teamId)
+
+    private suspend fun runOnce(call: ServiceCall): Result<ServiceAnswer, RequestFailure> {
+        val endpoint = endpointsFor(configuration, call).firstOrNull() ?: return Err(noEndpoint(call))
+        return services.call(endpoint, call).mapError { it.toRequestFailure() }
+    }
+
+    private suspend fun runWithKey(call: ServiceCall, idempotencyKey: String): Result<ServiceAnswer, RequestFailure> {
+        val key = requestKeyOf(call.teamId, call.route.name, idempotencyKey)
+        return calls.run(call, key, fingerprintOf(call.method, call.path, call.body)).toResult()
+    }
+}
+
+/** Runs [call] at the first endpoint of its route that can be reached, and never at a second one after a write. */
+internal suspend fun dispatchOnce(
+    configuration: ConfigurationView,
+    services: ServiceClient,
+    call: ServiceCall,
+): StoredOutcome {
+    var outcome = StoredOutcome(ExecutionStatus.NotRun)
+    for (endpoint in endpointsFor(configuration, call)) {
+        outcome = services.call(endpoint, call).fold(success = { it.toOutcome() }, failure = { it.toOutcome() })
+        if (outcome.status != ExecutionStatus.NotRun) return outcome
+    }
+    return outcome
+}
+
+private fun endpointsFor(configuration: ConfigurationView, call: ServiceCall): List<EndpointSpec> {
+    val index = configuration.current() ?: return emptyList()
+    return rankByRendezvous(call.requestId.value, call.route.endpointIds).mapNotNull { index.endpoint(it) }
+}
+
+private val ServiceCall.teamId: TeamId get() = caller?.teamId ?: TeamId("")
+
+private fun ServiceAnswer.toOutcome(): StoredOutcome {
+    val status = if (httpStatus >= FIRST_SERVER_ERROR_STATUS) ExecutionStatus.Failed else ExecutionStatus.Completed
+    return StoredOutcome(status, StoredAnswer(httpStatus, contentType.orEmpty(), body))
+}
+
+private fun ServiceFailure.toOutcome(): StoredOutcome =
+    when (this) {
+        is ServiceFailure.NotSent -> StoredOutcome(ExecutionStatus.NotRun)
+        is ServiceFailure.Broken -> StoredOutcome(ExecutionStatus.Unknown)
+    }
+
+private fun ServiceFailure.toRequestFailure(): RequestFailure =
+    when (this) {
+        is ServiceFailure.NotSent -> RequestFailure.Unavailable(message, RequestExecution.NOT_RUN, RETRY_AFTER_MS)
+        is ServiceFailure.Broken -> RequestFailure.Unavailable(message, RequestExecution.UNKNOWN)
+    }
+
+private fun noEndpoint(call: ServiceCall) =
+    RequestFailure.NotFound("expected an endpoint of route `${call.route.name}`, got none")
+
+private fun CallAnswer.toResult(): Result<ServiceAnswer, RequestFailure> =
+    when (this) {
+        is CallAnswer.Ended -> outcome.toResult(replayed = false)
+        is CallAnswer.Replayed -> outcome.toResult(replayed = true)
+        is CallAnswer.Refused -> Err(toRequestFailure())
+        CallAnswer.StillRunning -> {
+            val message = "expected the first request with this idempotency key to have ended, it is in progress"
+            Err(RequestFailure.IdempotencyConflict(message, RequestExecution.IN_PROGRESS, RETRY_AFTER_MS))
+        }
+        CallAnswer.OutcomeUnknown -> {
+            val message = "expected the outcome of the first request with this idempotency key, it is not known"
+            Err(RequestFailure.Unavailable(message, RequestExecution.UNKNOWN))
+        }
+    }
+
+private fun StoredOutcome.toResult(replayed: Boolean): Result<ServiceAnswer, RequestFailure> {
+    val kept = answer
+    if (kept != null) {
+        val contentType = kept.contentType.ifEmpty { null }
+        return Ok(ServiceAnswer(kept.statusCode, contentType, kept.body, replayed, status.toRequestExecution()))
+    }
+    val execution = status.toRequestExecution()
+    if (!replayed) return Err(RequestFailure.Unavailable("expected an answer, the connection broke", execution))
+    val message = "expected the stored answer of the first request, it was not kept"
+    return Err(RequestFailure.IdempotencyConflict(message, execution, retryAfterMs = null))
+}
+
+private fun CallAnswer.Refused.toRequestFailure(): RequestFailure {
+    if (refusal is CallRefusal.KeyConflict) {
+        return RequestFailure.IdempotencyConflict(refusal.message, RequestExecution.NOT_RUN, retryAfterMs = null)
+    }
+    val earlierCallsMayHaveRun = earlierCalls == EarlierCalls.UNKNOWN
+    return RequestFailure.Unavailable(
+        refusal.message,
+        RequestExecution.NOT_RUN,
+        RETRY_AFTER_MS,
+        earlierCallsMayHaveRun,
+    )
+}
+
+/** The status in the callers' interface. */
+internal fun ExecutionStatus.toRequestExecution(): RequestExecution =
+    when (this) {
+        ExecutionStatus.NotRun -> RequestExecution.NOT_RUN
+        ExecutionStatus.InProgress -> RequestExecution.IN_PROGRESS
+        ExecutionStatus.Completed -> RequestExecution.COMPLETED
+        ExecutionStatus.Failed -> RequestExecution.FAILED
+        ExecutionStatus.Unknown -> RequestExecution.UNKNOWN
+    }
+
+private const val FIRST_SERVER_ERROR_STATUS = 500
+private const val RETRY_AFTER_MS = 1_000L
--- a/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/EngineClient.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/EngineClient.kt
@@ -10,7 +10,10 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** A completion as an engine is asked for it; [itemId] is a model or an adapter. */
+/**
+ * A completion as an engine is asked for it; [itemId] is a model or an adapter. A completion that is resumed or
+ * continued starts at [fromTokenIndex], after [generatedText].
+ */
 @Serializable
 public data class EngineCompletion(
     val requestId: RequestId,
@@ -20,6 +23,7 @@
     val maxTokens: Int,
     val priority: Int = 0,
     val fromTokenIndex: Int = 0,
+    val generatedText: String = "",
 )
 
 /** One generated token; [requestId] and [attempt] tell whose answer it belongs to. */
--- a/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/HttpServiceClient.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/HttpServiceClient.kt
@@ -1,6 +1,10 @@
 /*
- * Calls plain services over HTTP. The outgoing request is built anew from the call's own fields, so no header of the
- * caller, and no key, can reach the service.
+ * Calls plain services over HTTP, each call over a connection of its own, so that it is known at every step whether a
+ * byte can have reached the service. The outgoing request is built anew from the call's own fields, so no header of
+ * the caller, and no key, can reach the service. An answer counts as whole only when it ends where its length or its
+ * last chunk says.
+ *
+ * A service may state in the header `X-Execution-Status: not_run` that it refused a call before running it.
  */
 package io.daisybend.daemon.endpoint
 
@@ -10,43 +14,154 @@
 import io.daisybend.configuration.EndpointSpec
 import io.daisybend.daemon.request.ServiceAnswer
 import io.daisybend.daemon.request.ServiceCall
-import io.ktor.client.HttpClient
-import io.ktor.client.request.header
-import io.ktor.client.request.request
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.bodyAsBytes
-import io.ktor.http.ContentType
+import io.daisybend.dispatch.DispatchAction
+import io.daisybend.dispatch.DispatchAttempt
+import io.daisybend.dispatch.DispatchEvent
+import io.daisybend.dispatch.ExecutionStatus
+import io.daisybend.kernel.MillisClock
+import io.daisybend.kernel.SystemMillisClock
 import io.ktor.http.HttpMethod
-import io.ktor.http.contentType
+import io.ktor.http.cio.RequestResponseBuilder
+import io.ktor.http.cio.Response
+import io.ktor.http.cio.parseResponse
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readLineStrict
+import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.CancellationException
-import java.net.ConnectException
-
-internal class HttpServiceClient(private val client: HttpClient) : ServiceClient {
-    override suspend fun call(endpoint: EndpointSpec, call: ServiceCall): Result<ServiceAnswer, ServiceFailure> = try {
-        val response = client.request("http://${endpoint.address}${call.path}") {
-            method = HttpMethod.parse(call.method)
-            header(REQUEST_ID_HEADER, call.requestId.value)
-            call.caller?.let { header(TEAM_HEADER, it.teamId.value) }
-            if (call.body.isNotEmpty()) {
-                call.contentType?.let { contentType(ContentType.parse(it)) }
-                setBody(call.body)
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.Buffer
+import kotlinx.io.readByteArray
+import java.io.EOFException
+
+internal class HttpServiceClient(
+    private val clock: MillisClock = SystemMillisClock,
+    private val selector: SelectorManager = SelectorManager(Dispatchers.IO),
+) : ServiceClient {
+    override suspend fun call(endpoint: EndpointSpec, call: ServiceCall): Result<ServiceAnswer, ServiceFailure> {
+        val exchange = Exchange(endpoint, call)
+        return exchange.await()
+    }
+
+    private inner class Exchange(private val endpoint: EndpointSpec, private val call: ServiceCall) {
+        private val attempt = DispatchAttempt(call.deadlineMs)
+        private var socket: Socket? = null
+
+        suspend fun await(): Result<ServiceAnswer, ServiceFailure> = try {
+            val answer = withTimeoutOrNull((call.deadlineMs - clock.nowMs()).coerceAtLeast(1L)) { connectAndSend() }
+            answer ?: Err(failure(attempt.statusIfLost, "none before the deadline"))
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failed: Exception) {
+            Err(failure(attempt.statusIfLost, failed.javaClass.simpleName))
+        } finally {
+            socket?.close()
+        }
+
+        private suspend fun connectAndSend(): Result<ServiceAnswer, ServiceFailure> {
+            if (feed(DispatchEvent.Started) != DispatchAction.Connect) return Err(late())
+            val opened = connect()
+            if (feed(DispatchEvent.Connected) != DispatchAction.Write) return Err(late())
+            write(opened)
+            feed(DispatchEvent.RequestWritten)
+            return read(opened.openReadChannel())
+        }
+
+        private fun feed(event: DispatchEvent): DispatchAction? = attempt.handle(event, clock.nowMs())
+
+        private fun late() = failure(ExecutionStatus.NotRun, "its deadline")
+
+        private suspend fun connect(): Socket {
+            val host = endpoint.address.substringBeforeLast(':')
+            val port = endpoint.address.substringAfterLast(':').toInt()
+            return aSocket(selector).tcp().connect(host, port) { noDelay = true }.also { socket = it }
+        }
+
+        private suspend fun write(opened: Socket) {
+            val builder = RequestResponseBuilder()
+            builder.requestLine(HttpMethod.parse(call.method), call.path, HTTP_VERSION)
+            builder.headerLine("Host", endpoint.address)
+            builder.headerLine(REQUEST_ID_HEADER, call.requestId.value)
+            call.caller?.let { builder.headerLine(TEAM_HEADER, it.teamId.value) }
+            call.contentType?.let { builder.headerLine("Content-Type", it) }
+            builder.headerLine("Content-Length", call.body.size.toString())
+            builder.emptyLine()
+            builder.bytes(call.body)
+            val output = opened.openWriteChannel()
+            output.writePacket(builder.build())
+            output.flush()
+        }
+
+        private suspend fun read(input: ByteReadChannel): Result<ServiceAnswer, ServiceFailure> {
+            val response = parseResponse(input) ?: throw EOFException("expected a status line, got none")
+            feed(DispatchEvent.AnswerStarted(response.status, response.saysNotRun))
+            val body = readBody(response, input)
+            val ended = feed(DispatchEvent.AnswerEnded) as? DispatchAction.End
+            if (ended?.status == ExecutionStatus.NotRun) return Err(failure(ExecutionStatus.NotRun, "a refusal"))
+            return Ok(ServiceAnswer(response.status, response.headers["Content-Type"]?.toString(), body))
+        }
+
+        private suspend fun readBody(response: Response, input: ByteReadChannel): ByteArray {
+            val lengthBytes = response.headers["Content-Length"]?.toString()?.toLong()
+            return when {
+                response.status in BODILESS_STATUSES -> ByteArray(0)
+                response.headers["Transfer-Encoding"]?.toString()?.endsWith("chunked") == true -> readChunked(input)
+                lengthBytes != null && lengthBytes in 0..MAX_BODY_BYTES -> input.readByteArray(lengthBytes.toInt())
+                else -> throw EOFException("expected a body with a marked end of at most $MAX_BODY_BYTES bytes")
+            }
+        }
+
+        /** Reads chunks up to the empty one that marks the end; an end without it is an error. */
+        private suspend fun readChunked(input: ByteReadChannel): ByteArray {
+            val body = Buffer()
+            var chunkBytes = readChunkSize(input)
+            while (chunkBytes > 0) {
+                if (body.size + chunkBytes >
+                    MAX_BODY_BYTES
+                ) {
+                    throw EOFException("expected at most $MAX_BODY_BYTES bytes")
+                }
+                body.write(input.readByteArray(chunkBytes))
+                input.readLineStrict(MAX_LINE_CHARS)
+                chunkBytes = readChunkSize(input)
+            }
+            return body.readByteArray()
+        }
+
+        private suspend fun readChunkSize(input: ByteReadChannel): Int {
+            val line = input.readLineStrict(MAX_LINE_CHARS) ?: throw EOFException("expected a chunk, got the end")
+            return line.substringBefore(';').trim().toInt(radix = 16)
+        }
+
+        private fun failure(status: ExecutionStatus, got: String): ServiceFailure {
+            val message = "expected an answer from ${endpoint.endpointId}, got $got"
+            return if (status ==
+                ExecutionStatus.NotRun
+            ) {
+                ServiceFailure.NotSent(message)
+            } else {
+                ServiceFailure.Broken(message)
             }
         }
-        Ok(ServiceAnswer(response.status.value, response.contentType()?.toString(), response.bodyAsBytes()))
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (failed: ConnectException) {
-        Err(
-            ServiceFailure.NotSent(
-                "expected a connection to ${endpoint.endpointId}, got ${failed.javaClass.simpleName}",
-            ),
-        )
-    } catch (failed: Exception) {
-        Err(ServiceFailure.Broken("expected an answer from ${endpoint.endpointId}, got ${failed.javaClass.simpleName}"))
     }
 
     private companion object {
+        const val HTTP_VERSION = "HTTP/1.1"
         const val REQUEST_ID_HEADER = "X-Request-Id"
         const val TEAM_HEADER = "X-Team-Id"
+        const val MAX_BODY_BYTES = 8L shl 20
+        const val MAX_LINE_CHARS = 1_024L
+        val BODILESS_STATUSES = setOf(204, 304)
     }
 }
+
+private const val EXECUTION_HEADER = "X-Execution-Status"
+
+private val Response.saysNotRun: Boolean
+    get() = headers[EXECUTION_HEADER]?.toString() == ExecutionStatus.NotRun.wireValue
--- a/daemon/src/main/kotlin/io/daisybend/daemon/gateway/GatewayCalls.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/gateway/GatewayCalls.kt
@@ -3,6 +3,7 @@
  */
 package io.daisybend.daemon.gateway
 
+import io.daisybend.daemon.request.ExecutionStatus
 import io.daisybend.daemon.request.RequestFailure
 import io.daisybend.kernel.RequestId
 import io.ktor.http.ContentType
@@ -30,6 +31,7 @@
 
 internal const val REQUEST_ID_HEADER = "X-Request-Id"
 internal const val EXECUTION_HEADER = "X-Execution-Status"
+internal const val EARLIER_CALLS_HEADER = "X-Earlier-Calls"
 internal const val TIMEOUT_HEADER = "X-Request-Timeout-Ms"
 internal const val IDEMPOTENCY_HEADER = "Idempotency-Key"
 private const val BEARER_PREFIX = "Bearer "
@@ -53,6 +55,7 @@
 internal suspend fun ApplicationCall.refuse(requestId: RequestId, failure: RequestFailure) {
     response.header(REQUEST_ID_HEADER, requestId.value)
     response.header(EXECUTION_HEADER, failure.execution.wireValue)
+    if (failure.earlierCallsMayHaveRun) response.header(EARLIER_CALLS_HEADER, ExecutionStatus.UNKNOWN.wireValue)
     failure.retryAfterMs?.let { waitMs ->
         val waitSeconds = (waitMs + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND
         response.header(HttpHeaders.RetryAfter, waitSeconds.toString())
--- a/daemon/src/main/kotlin/io/daisybend/daemon/gateway/HttpGateway.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/gateway/HttpGateway.kt
@@ -5,7 +5,6 @@
 package io.daisybend.daemon.gateway
 
 import com.github.michaelbull.result.fold
-import io.daisybend.daemon.request.ExecutionStatus
 import io.daisybend.daemon.request.RequestFailure
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RouteCall
@@ -152,7 +151,7 @@
 
 private suspend fun ApplicationCall.answerService(requestId: RequestId, answer: ServiceAnswer) {
     response.header(REQUEST_ID_HEADER, requestId.value)
-    response.header(EXECUTION_HEADER, ExecutionStatus.COMPLETED.wireValue)
+    response.header(EXECUTION_HEADER, answer.execution.wireValue)
     if (answer.replayed) response.header(REPLAYED_HEADER, "true")
     val contentType = answer.contentType?.let { ContentType.parse(it) }
     respondBytes(answer.body, contentType, HttpStatusCode.fromValue(answer.httpStatus))
--- a/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestFailure.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestFailure.kt
@@ -20,6 +20,9 @@
     /** After how long a retry makes sense, or null when a retry of the same request does not. */
     public open val retryAfterMs: Long? get() = null
 
+    /** Whether it is not known if an earlier call with the same idempotency key ran. */
+    public open val earlierCallsMayHaveRun: Boolean get() = false
+
     /** The request is malformed. */
     public data class Invalid(override val message: String) : RequestFailure() {
         override val httpStatus: Int = 400
@@ -91,6 +94,7 @@
         override val message: String,
         override val execution: ExecutionStatus,
         override val retryAfterMs: Long? = null,
+        override val earlierCallsMayHaveRun: Boolean = false,
     ) : RequestFailure() {
         override val httpStatus: Int = if (execution == ExecutionStatus.NOT_RUN) 503 else 502
         override val type: String = "endpoint_error"
--- a/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestPorts.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestPorts.kt
@@ -9,6 +9,7 @@
 import io.daisybend.configuration.KeyId
 import io.daisybend.configuration.RouteSpec
 import io.daisybend.kernel.AdapterId
+import io.daisybend.kernel.EndpointId
 import io.daisybend.kernel.ModelId
 import io.daisybend.kernel.RequestId
 import io.daisybend.kernel.TeamId
@@ -41,7 +42,7 @@
 /** How urgent a request is. */
 public enum class Priority { INTERACTIVE, BATCH }
 
-/** A checked request for a model or an adapter. */
+/** A checked request for a model or an adapter; [avoidEndpointId] is left out if another endpoint can serve it. */
 public data class ModelRequest(
     val requestId: RequestId,
     val caller: Caller,
@@ -52,6 +53,7 @@
     val maxOutputTokens: Int,
     val priority: Priority,
     val deadlineMs: Long,
+    val avoidEndpointId: EndpointId? = null,
 )
 
 /** One token of an answer. */
@@ -103,6 +105,7 @@
     val contentType: String?,
     val body: ByteArray,
     val replayed: Boolean = false,
+    val execution: ExecutionStatus = ExecutionStatus.COMPLETED,
 )
 
 /** Runs calls to plain services. */
--- a/daemon/src/main/kotlin/io/daisybend/daemon/thin/ListedAddresses.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/thin/ListedAddresses.kt
@@ -33,6 +33,9 @@
         return AddressAnswer(ranked.map { live.getValue(it).callerAddress }, lifetimeMs, ranked)
     }
 
+    /** Returns the VMs that are listed as live. */
+    fun liveVms(): List<VmId> = entries.filter { it.state == VmState.LIVE }.map { it.vmId }
+
     override fun addressOf(vmId: VmId): SocketEndpoint? =
         entries.firstOrNull { it.vmId == vmId }?.peerAddress?.let { address ->
             SocketEndpoint(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
--- a/dispatch/src/main/kotlin/io/daisybend/dispatch/DispatchAttempt.kt
+++ b/dispatch/src/main/kotlin/io/daisybend/dispatch/DispatchAttempt.kt
@@ -28,8 +28,8 @@
     /** The head and the body have been handed to the connection. */
     public data object RequestWritten : DispatchEvent
 
-    /** The status line and the headers of the answer came. */
-    public data class AnswerStarted(val statusCode: Int) : DispatchEvent
+    /** The status line and the headers came; with [saysNotRun] the endpoint states that it did not run the call. */
+    public data class AnswerStarted(val statusCode: Int, val saysNotRun: Boolean = false) : DispatchEvent
 
     /** The answer came to its marked end. */
     public data object AnswerEnded : DispatchEvent
@@ -53,16 +53,14 @@
     public data class End(val status: ExecutionStatus) : DispatchAction
 }
 
-/** Follows one attempt; with [refusalStatusCodes] the endpoint promises that it did not run the call. */
-public class DispatchAttempt(
-    private val deadlineMs: Long,
-    private val refusalStatusCodes: Set<Int> = emptySet(),
-) {
+/** Follows one attempt of a call that has to be written before [deadlineMs]. */
+public class DispatchAttempt(private val deadlineMs: Long) {
     /** How far the attempt has come. */
     public var step: DispatchStep = DispatchStep.CREATED
         private set
 
     private var statusCode = 0
+    private var isRefusal = false
 
     /** What may be claimed if nothing more is ever heard of this attempt. */
     public val statusIfLost: ExecutionStatus
@@ -72,15 +70,13 @@
             DispatchStep.READING_ANSWER -> if (isRefusal) ExecutionStatus.NotRun else ExecutionStatus.Unknown
         }
 
-    private val isRefusal: Boolean get() = statusCode in refusalStatusCodes
-
     /** Returns what to do after [event]; an event that does not fit the current step changes nothing. */
     public fun handle(event: DispatchEvent, nowMs: Long): DispatchAction? =
         when (event) {
             DispatchEvent.Started -> start(nowMs)
             DispatchEvent.Connected -> startWriting(nowMs)
             DispatchEvent.RequestWritten -> requestWritten()
-            is DispatchEvent.AnswerStarted -> answerStarted(event.statusCode)
+            is DispatchEvent.AnswerStarted -> answerStarted(event)
             DispatchEvent.AnswerEnded -> if (step == DispatchStep.READING_ANSWER) end(answeredStatus()) else null
             DispatchEvent.ConnectionLost -> end(statusIfLost)
             DispatchEvent.DeadlineReached -> if (nowMs >= deadlineMs) end(statusIfLost) else null
@@ -106,9 +102,10 @@
         return null
     }
 
-    private fun answerStarted(code: Int): DispatchAction? {
+    private fun answerStarted(event: DispatchEvent.AnswerStarted): DispatchAction? {
         if (step == DispatchStep.WRITING || step == DispatchStep.AWAITING_ANSWER) {
-            statusCode = code
+            statusCode = event.statusCode
+            isRefusal = event.saysNotRun
             step = DispatchStep.READING_ANSWER
         }
         return null
--- a/dispatch/src/main/kotlin/io/daisybend/dispatch/IdempotentExecutor.kt
+++ b/dispatch/src/main/kotlin/io/daisybend/dispatch/IdempotentExecutor.kt
@@ -91,6 +91,9 @@
     /** A caller sent [call]. */
     public data class CallArrived(val call: NonRepeatableCall) : ExecutorEvent
 
+    /** The caller of [requestId] waits no longer; a call that was not dispatched yet will not be. */
+    public data class CallerLeft(val requestId: RequestId) : ExecutorEvent
+
     /** A coordinator answered. */
     public data class CoordinatorAnswered(val attemptId: AttemptId, val answer: CoordinatorAnswer) : ExecutorEvent
 
@@ -136,7 +139,7 @@
 /** Limits and times of an [IdempotentExecutor]. */
 public data class ExecutorSettings(
     val grantTimeoutMs: Long = 2_000L,
-    val queryTimeoutMs: Long = 500L,
+    val queryTimeoutMs: Long = 2_000L,
     val askBackoff: Backoff = Backoff(baseMs = 300L, maxMs = 10_000L),
     val storedAnswerBytes: Int = 1_024,
     val maxAttempts: Int = 10_000,
@@ -180,6 +183,7 @@
         actions = mutableListOf()
         when (event) {
             is ExecutorEvent.CallArrived -> open(event.call, nowMs)
+            is ExecutorEvent.CallerLeft -> callerLeft(event.requestId, nowMs)
             is ExecutorEvent.CoordinatorAnswered -> answered(event.attemptId, event.answer, nowMs)
             is ExecutorEvent.CoordinatorUnreachable -> attempts[event.attemptId]?.let { it.nextAskAtMs = nowMs }
             is ExecutorEvent.DispatchEnded -> dispatchEnded(event.attemptId, event.outcome, nowMs)
@@ -205,6 +209,14 @@
         ask(attemptId, attempt, nowMs)
     }
 
+    private fun callerLeft(requestId: RequestId, nowMs: Long) {
+        val waiting = attempts.entries.firstOrNull {
+            (it.value.phase as? Phase.AwaitingGrant)?.call?.requestId ==
+                requestId
+        }
+        if (waiting != null) abandon(waiting.key, waiting.value, nowMs)
+    }
+
     private fun ask(attemptId: AttemptId, attempt: Attempt, nowMs: Long) {
         val record = attempt.record ?: return
         actions += ExecutorAction.AskCoordinator(attemptId, attempt.key, record, rank = attempt.asks)
--- a/dispatch/src/test/kotlin/io/daisybend/dispatch/AtMostOnceSchedule.kt
+++ b/dispatch/src/test/kotlin/io/daisybend/dispatch/AtMostOnceSchedule.kt
@@ -131,7 +131,8 @@
             in 6..6 -> restart(random.nextInt(VMS))
             in 7..8 -> vms.random(random).let { it.frozen = !it.frozen }
             in 9..9 -> logDown = random.nextInt(3) == 0
-            in 10..30 -> tick(vms.random(random))
+            10 -> leave(vms.random(random))
+            in 11..30 -> tick(vms.random(random))
             else -> runOperation()
         }
         check()
@@ -162,6 +163,11 @@
         deliver(vm, lossy = false) { vm.feed(ExecutorEvent.CallArrived(call)) }
     }
 
+    private fun leave(vm: Vm) {
+        val requestId = requestOfCall.keys.randomOrNull(random) ?: return
+        deliver(vm, lossy = false) { vm.feed(ExecutorEvent.CallerLeft(requestId)) }
+    }
+
     private fun restart(index: Int) {
         operations.removeAll { it.owner === vms[index] }
         vms[index] = newVm(index)
@@ -271,7 +277,7 @@
         }
 
     private fun dispatch(vm: Vm, action: ExecutorAction.Dispatch) {
-        val attempt = DispatchAttempt(action.call.deadlineMs, refusalStatusCodes = setOf(REFUSED))
+        val attempt = DispatchAttempt(action.call.deadlineMs)
         val exchange = Exchange(vm, action.attemptId, action.call, attempt)
         deliver(vm, lossy = false) { exchange.feed(DispatchEvent.Started) }
     }
@@ -294,7 +300,7 @@
             attempt.step == DispatchStep.ENDED -> Unit
             event is DispatchEvent.AnswerStarted -> proceed(DispatchEvent.AnswerEnded)
             code == null -> proceed(DispatchEvent.DeadlineReached)
-            attempt.step == DispatchStep.AWAITING_ANSWER -> proceed(DispatchEvent.AnswerStarted(code))
+            attempt.step == DispatchStep.AWAITING_ANSWER -> proceed(DispatchEvent.AnswerStarted(code, code == REFUSED))
             else -> Unit
         }
     }
--- a/dispatch/src/test/kotlin/io/daisybend/dispatch/DispatchAttemptTest.kt
+++ b/dispatch/src/test/kotlin/io/daisybend/dispatch/DispatchAttemptTest.kt
@@ -12,10 +12,9 @@
         DispatchEvent.AnswerEnded,
     )
 
-    fun attemptAfter(events: List<DispatchEvent>, refusalStatusCodes: Set<Int> = emptySet()) =
-        DispatchAttempt(deadlineMs = 100L, refusalStatusCodes).also { attempt ->
-            events.forEach { attempt.handle(it, nowMs = 0L) }
-        }
+    fun attemptAfter(events: List<DispatchEvent>) = DispatchAttempt(deadlineMs = 100L).also { attempt ->
+        events.forEach { attempt.handle(it, nowMs = 0L) }
+    }
 
     test("a connection that breaks before the first write means not run, and unknown from then on") {
         val statuses = steps.indices.map { count ->
@@ -31,7 +30,7 @@
     }
 
     test("the status line alone decides when the endpoint refuses before running") {
-        val refused = attemptAfter(steps.take(3) + DispatchEvent.AnswerStarted(429), refusalStatusCodes = setOf(429))
+        val refused = attemptAfter(steps.take(3) + DispatchEvent.AnswerStarted(429, saysNotRun = true))
         refused.handle(DispatchEvent.ConnectionLost, nowMs = 0L) shouldBe DispatchAction.End(ExecutionStatus.NotRun)
     }
 
