--- a/rates/src/main/kotlin/io/daisybend/rates/HeldSeats.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/HeldSeats.kt
@@ -49,5 +49,14 @@
         seats[seatIndex]?.bucket?.settle(grantId, returnedMicroTokens, nowMs)
     }
 
+    /** Notes what [asker] says about its grant. */
+    fun apply(grant: SettledGrant, asker: HolderId, nowMs: Long) {
+        val grantId = GrantId(asker, grant.askNumber)
+        when (val returned = grant.returnedMicroTokens) {
+            null -> confirm(grant.seatIndex, grantId, nowMs)
+            else -> settle(grant.seatIndex, grantId, returned, nowMs)
+        }
+    }
+
     private fun running(seatIndex: Int, nowMs: Long) = seats[seatIndex]?.takeIf { nowMs < it.termEndMs }?.bucket
 }
--- a/rates/src/main/kotlin/io/daisybend/rates/RateLimits.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/RateLimits.kt
@@ -7,6 +7,7 @@
  */
 package io.daisybend.rates
 
+import io.daisybend.kernel.TeamId
 import kotlinx.serialization.Serializable
 
 internal const val MICRO_TOKENS_PER_TOKEN: Long = 1_000_000L
@@ -60,3 +61,6 @@
     val capacity = burstTokens * MICRO_TOKENS_PER_TOKEN / seatsPerTeam - nominalPerMs / seatsPerTeam - 1
     return SeatShare(refillPerMs, capacity.coerceAtLeast(0))
 }
+
+/** Returns the seats of [teamId]. */
+internal fun RateSettings.seatIds(teamId: TeamId): List<SeatId> = List(seatsPerTeam) { SeatId(teamId, it) }
--- a/rates/src/main/kotlin/io/daisybend/rates/RateMessage.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/RateMessage.kt
@@ -5,7 +5,10 @@
 package io.daisybend.rates
 
 import com.github.michaelbull.result.Result
+import io.daisybend.kernel.MalformedCbor
 import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.decodeCbor
+import io.daisybend.kernel.encodeCbor
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -71,6 +74,6 @@
 /** Encodes this message for the peers' channel. */
 public fun RateMessage.encode(): ByteArray = encodeCbor(RateMessage.serializer(), this)
 
-/** Decodes a message of the peers' channel; fails with [MalformedRateBytes] when the bytes are none. */
-public fun decodeRateMessage(bytes: ByteArray): Result<RateMessage, MalformedRateBytes> =
+/** Decodes a message of the peers' channel; fails with [MalformedCbor] when the bytes are none. */
+public fun decodeRateMessage(bytes: ByteArray): Result<RateMessage, MalformedCbor> =
     decodeCbor(RateMessage.serializer(), bytes)
--- a/rates/src/main/kotlin/io/daisybend/rates/SeatLeases.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/SeatLeases.kt
@@ -4,8 +4,6 @@
  * longer by the clocks' drift, so a successor starts only after the holder has stopped. A successor gets the balance
  * that a release record carries, otherwise an empty bucket, and in both cases refills it only after the predecessor's
  * last grants have expired. While the log does not answer, a holder asks its witnesses to support it for another term.
- * A witness that supports a holder suspects it no earlier than a term later, and one that has suspected it supports it
- * no more; an extension takes more than half of the witnesses and a claim the suspicion of the other half, so never both.
  */
 package io.daisybend.rates
 
@@ -62,23 +60,13 @@
 
     private class PendingRelease(val release: SeatRelease, var appendAfterMs: Long)
 
-    /** The offset from which the log has to be read next. */
-    var readFromOffset: Long = 0
-        private set
-
-    private var table: SeatTable? = null
-    private var scannedHistoryLost: SeatRecord.HistoryLost? = null
-    private var scannedRecords = 0
-    private var scannedToTailSinceMs: Long? = null
+    private val replay = SeatReplay(settings)
+    private val candidates = SeatCandidates(self, settings)
     private var teamIds: Set<TeamId> = emptySet()
-    private var liveVms: List<VmId> = emptyList()
-    private val liveSinceMs = HashMap<VmId, Long>()
     private val askMsBySequence = LinkedHashMap<Long, Long>()
     private var nextSequence = 0L
     private val held = HashMap<SeatId, HeldSeat>()
     private val pendingReleases = HashMap<SeatId, PendingRelease>()
-    private val leaseFirstReadMs = HashMap<HolderId, Long>()
-    private val claimableSinceMs = HashMap<SeatId, Long>()
     private var knownHolders: Map<TeamId, List<HolderId?>> = emptyMap()
     private var caughtUpAtMs = Long.MIN_VALUE / 2
     private var renewAfterMs = Long.MIN_VALUE
@@ -90,16 +78,25 @@
     private var isRegistered = false
     private var draining = false
 
+    /** The offset from which the log has to be read next. */
+    val readFromOffset: Long get() = replay.readFromOffset
+
     /** Whether this process holds no seat and owes no release. */
     val isDrained: Boolean get() = draining && held.isEmpty() && pendingReleases.isEmpty()
 
     fun handle(event: SeatEvent, nowMs: Long): List<SeatAction> = when (event) {
         is SeatEvent.TeamsChanged -> changeTeams(event.teamIds)
-        is SeatEvent.LiveVmsChanged -> noteLiveVms(event.vmIds, nowMs)
+        is SeatEvent.LiveVmsChanged -> {
+            candidates.noteLiveVms(event.vmIds, nowMs)
+            emptyList()
+        }
         is SeatEvent.LogRead -> readLog(event, nowMs)
         is SeatEvent.MessageReceived -> receive(event.message, nowMs)
         is SeatEvent.SeatEmptied -> release(event, nowMs)
-        SeatEvent.Drain -> drain()
+        SeatEvent.Drain -> {
+            draining = true
+            keptSeats().map { closeForRelease(it) }
+        }
         SeatEvent.Tick -> tick(nowMs)
     }
 
@@ -108,55 +105,19 @@
         return keptSeats().filter { it.teamId !in newTeamIds }.map { closeForRelease(it) } + holderChanges()
     }
 
-    private fun noteLiveVms(vmIds: List<VmId>, nowMs: Long): List<SeatAction> {
-        liveVms = vmIds
-        liveSinceMs.keys.retainAll(vmIds.toSet())
-        vmIds.forEach { liveSinceMs.putIfAbsent(it, nowMs) }
-        return emptyList()
-    }
-
     private fun readLog(event: SeatEvent.LogRead, nowMs: Long): List<SeatAction> {
-        val replayed = table
+        val replayed = replay.table
         if (replayed == null) {
-            scan(event, nowMs)
-            return if (table == null || readFromOffset < event.firstOffset) emptyList() else readLog(event, nowMs)
+            val started = replay.scan(event, nowMs) ?: return emptyList()
+            started.seats().filter { it.holder == self }.forEach { giveBack(it) }
+            return if (replay.readFromOffset < event.firstOffset) emptyList() else readLog(event, nowMs)
         }
         if (event.firstOffset > replayed.nextOffset) return loseState()
         val actions = event.records.flatMap { apply(replayed, it, nowMs) }
-        readFromOffset = replayed.nextOffset
         if (replayed.nextOffset >= event.nextOffset) caughtUpAtMs = nowMs
         return actions + holderChanges()
     }
 
-    /** Looks for a state to start from, in the order of the log. */
-    private fun scan(event: SeatEvent.LogRead, nowMs: Long) {
-        if (event.firstOffset == 0L) return start(SeatTable.empty(nextOffset = 0, lostHistory = false))
-        event.records.forEach { (_, record) ->
-            if (record !is SeatRecord.HistoryLost) scannedRecords++
-            when (record) {
-                is SeatRecord.Snapshot ->
-                    if (record.nextOffset >= event.firstOffset) return start(SeatTable.restore(record))
-                is SeatRecord.HistoryLost ->
-                    if (scannedHistoryLost == null &&
-                        record.nextOffset >= event.firstOffset
-                    ) {
-                        scannedHistoryLost = record
-                    }
-                else -> Unit
-            }
-        }
-        readFromOffset = event.records.lastOrNull()?.let { it.offset + 1 } ?: maxOf(readFromOffset, event.firstOffset)
-        if (readFromOffset < event.nextOffset) return
-        scannedHistoryLost?.let { return start(SeatTable.empty(it.nextOffset, lostHistory = true)) }
-        if (scannedToTailSinceMs == null) scannedToTailSinceMs = nowMs
-    }
-
-    private fun start(startState: SeatTable) {
-        table = startState
-        readFromOffset = startState.nextOffset
-        startState.seats().filter { it.holder == self }.forEach { giveBack(it) }
-    }
-
     /** Releases a seat that the log assigns to this process but of whose term or balance it knows nothing. */
     private fun giveBack(state: SeatState) {
         held[state.seatId] = HeldSeat(state.versionOffset, isReleasing = true)
@@ -169,11 +130,7 @@
         val closed = held.map { (seatId, seat) -> SeatAction.Close(seatId, seat.claimOffset, emptyForRelease = false) }
         held.clear()
         pendingReleases.clear()
-        table = null
-        scannedHistoryLost = null
-        scannedRecords = 0
-        scannedToTailSinceMs = null
-        readFromOffset = 0
+        replay.restart()
         return closed
     }
 
@@ -184,7 +141,7 @@
             .filterTo(HashSet()) { replayed.isUnused(it) }
         replayed.apply(entry.offset, entry.record)
         val writer = entry.record?.writer ?: return emptyList()
-        leaseFirstReadMs[writer] = nowMs
+        candidates.noteRecordFrom(writer, nowMs)
         if (writer == self) isRegistered = true
         val ownTermEndMs = entry.record.takeIf { writer == self }?.let { ownTermEndMs(it, entry.offset) }
         return lostSeats(replayed) + gainedSeats(replayed, entry.offset, unusedSeats, ownTermEndMs, nowMs) +
@@ -244,8 +201,8 @@
     }
 
     private fun holderChanges(): List<SeatAction> {
-        val replayed = table ?: return emptyList()
-        val holders = teamIds.associateWith { teamId -> seatIds(teamId).map { replayed.seat(it)?.holder } }
+        val replayed = replay.table ?: return emptyList()
+        val holders = teamIds.associateWith { teamId -> settings.seatIds(teamId).map { replayed.seat(it)?.holder } }
         val changes = holders.filter { (teamId, current) -> knownHolders[teamId] != current }
         knownHolders = holders
         return changes.map { (teamId, current) -> SeatAction.HoldersChanged(teamId, current) }
@@ -261,11 +218,6 @@
         return emptyList()
     }
 
-    private fun drain(): List<SeatAction> {
-        draining = true
-        return keptSeats().map { closeForRelease(it) }
-    }
-
     private fun keptSeats(): List<SeatId> = held.filterValues { !it.isReleasing }.keys.toList()
 
     private fun closeForRelease(seatId: SeatId): SeatAction {
@@ -275,36 +227,24 @@
     }
 
     private fun tick(nowMs: Long): List<SeatAction> {
-        val replayed = table ?: return declareLostHistory(nowMs)
-        return renew(replayed, nowMs) + askSupport(nowMs) + suspect(replayed, nowMs) + appendReleases(nowMs) +
+        val replayed = replay.table ?: return listOfNotNull(replay.lostHistory(nowMs)?.let { SeatAction.Append(it) })
+        return renew(replayed, nowMs) + extension.askWitnesses(held.isNotEmpty(), nowMs) + suspect(replayed, nowMs) +
+            appendReleases(nowMs) +
             writeSnapshot(replayed, nowMs) +
             claim(replayed, nowMs) +
             rebalance(replayed, nowMs)
     }
 
-    private fun declareLostHistory(nowMs: Long): List<SeatAction> {
-        val sinceMs = scannedToTailSinceMs ?: return emptyList()
-        val longestTermMs = if (scannedRecords == 0) settings.termExpiryMs else settings.extensionExpiryMs
-        if (nowMs < sinceMs + longestTermMs) return emptyList()
-        scannedToTailSinceMs = nowMs
-        return listOf(SeatAction.Append(SeatRecord.HistoryLost(readFromOffset)))
-    }
-
     private fun renew(replayed: SeatTable, nowMs: Long): List<SeatAction> {
         if (nowMs < renewAfterMs || (isRegistered && held.isEmpty())) return emptyList()
         renewAfterMs = nowMs + if (isRegistered) settings.renewIntervalMs else settings.claimRetryMs
         val sequence = newSequence(nowMs)
-        val witnesses = replayed.processesOn(liveVms.filter { it != self.vmId })
+        val witnesses = replayed.processesOn(candidates.liveVms.filter { it != self.vmId })
         val isKnown = replayed.lease(self)?.witnesses == witnesses && !extension.hasUnconfirmedWitnesses
         if (!isKnown) extension.noteSentWitnesses(sequence, witnesses)
         return listOf(SeatAction.Append(SeatRecord.Renewed(self, sequence, witnesses.takeUnless { isKnown })))
     }
 
-    private fun askSupport(nowMs: Long): List<SeatAction> {
-        val isLogSilent = nowMs - extension.confirmedAskMs >= settings.termMs / 2
-        return if (held.isEmpty() || !isLogSilent) emptyList() else extension.askWitnesses(nowMs)
-    }
-
     private fun suspect(replayed: SeatTable, nowMs: Long): List<SeatAction> {
         if (nowMs < suspectAfterMs || !isFresh(nowMs)) return emptyList()
         suspectAfterMs = nowMs + settings.claimRetryMs
@@ -312,7 +252,7 @@
             .mapNotNullTo(LinkedHashSet()) { it.holder }
             .mapNotNull { replayed.lease(it) }
             .filter { it.holder != self && self in it.witnesses && self !in it.suspectedBy }
-            .filter { hasLapsed(it.holder, nowMs) && !extension.isSupported(it.holder, nowMs) }
+            .filter { candidates.hasLapsed(it.holder, nowMs) && !extension.isSupported(it.holder, nowMs) }
             .map { Suspicion(it.holder, it.offset) }
         if (suspicions.isEmpty()) return emptyList()
         suspicions.forEach { extension.noteSuspicion(it) }
@@ -331,7 +271,7 @@
     private fun writeSnapshot(replayed: SeatTable, nowMs: Long): List<SeatAction> {
         val excessRecords = replayed.recordsSinceSnapshot - settings.snapshotIntervalRecords
         if (excessRecords < 0 || nowMs < snapshotAfterMs) return emptyList()
-        val rank = rankByRendezvous("snapshot", liveVms).indexOf(self.vmId).coerceAtLeast(0)
+        val rank = rankByRendezvous("snapshot", candidates.liveVms).indexOf(self.vmId).coerceAtLeast(0)
         if (excessRecords < rank * SNAPSHOT_STAGGER_RECORDS) return emptyList()
         snapshotAfterMs = nowMs + settings.claimRetryMs
         return listOf(SeatAction.Append(replayed.snapshot()))
@@ -339,70 +279,28 @@
 
     private fun claim(replayed: SeatTable, nowMs: Long): List<SeatAction> {
         if (draining || !isFresh(nowMs) || nowMs < claimAfterMs) return emptyList()
-        val claims = teamIds.flatMap { claimsOf(it, replayed, nowMs) }.take(MAX_CLAIMS_IN_RECORD)
+        val claims = teamIds.flatMap {
+            candidates.claims(settings.seatIds(it), replayed, nowMs)
+        }.take(MAX_CLAIMS_IN_RECORD)
         if (claims.isEmpty()) return emptyList()
         claimAfterMs = nowMs + settings.claimRetryMs
         return listOf(SeatAction.Append(SeatRecord.Claimed(self, newSequence(nowMs), claims)))
     }
 
-    private fun claimsOf(teamId: TeamId, replayed: SeatTable, nowMs: Long): List<SeatClaim> {
-        val claimable = seatIds(teamId).filter { isClaimable(replayed, it, nowMs) }
-        if (claimable.isEmpty()) return emptyList()
-        val candidates = claimCandidates(teamId, replayed)
-        val ownRank = candidates.indexOf(self.vmId)
-        if (ownRank < 0) return emptyList()
-        return claimable
-            .filterIndexed { order, seatId ->
-                val delayRank = Math.floorMod(ownRank - order, candidates.size)
-                nowMs >= claimableSinceMs.getValue(seatId) + delayRank * settings.claimStaggerMs
-            }.map { SeatClaim(it, replayed.versionOf(it), isOverdue = isOverdue(replayed, it, nowMs)) }
-    }
-
-    /** The live VMs, those with the fewest seats of the team first. */
-    private fun claimCandidates(teamId: TeamId, replayed: SeatTable): List<VmId> {
-        val seatCounts = seatIds(teamId).mapNotNull { replayed.seat(it)?.holder?.vmId }.groupingBy { it }.eachCount()
-        return rankByRendezvous(teamId.value, liveVms).sortedBy { seatCounts[it] ?: 0 }
-    }
-
-    private fun isClaimable(replayed: SeatTable, seatId: SeatId, nowMs: Long): Boolean {
-        val holder = replayed.seat(seatId)?.holder
-        val isClaimable = holder == null ||
-            isOverdue(replayed, seatId, nowMs) ||
-            holder != self &&
-            hasLapsed(holder, nowMs) &&
-            replayed.isAbandoned(holder)
-        if (isClaimable) claimableSinceMs.putIfAbsent(seatId, nowMs) else claimableSinceMs.remove(seatId)
-        return isClaimable
-    }
-
-    private fun isOverdue(replayed: SeatTable, seatId: SeatId, nowMs: Long): Boolean {
-        val holder = replayed.seat(seatId)?.holder ?: return false
-        return holder != self && nowMs >= firstReadMs(holder, nowMs) + settings.extensionExpiryMs
-    }
-
-    private fun hasLapsed(holder: HolderId, nowMs: Long) = nowMs >= firstReadMs(holder, nowMs) + settings.termExpiryMs
-
-    /** A holder known only from a snapshot counts from the moment at which this process first met it. */
-    private fun firstReadMs(holder: HolderId, nowMs: Long) = leaseFirstReadMs.getOrPut(holder) { nowMs }
-
     /** Gives one seat back when another VM has none of a team of which this one holds several. */
     private fun rebalance(replayed: SeatTable, nowMs: Long): List<SeatAction> {
         if (draining || nowMs < rebalanceAfterMs || !isFresh(nowMs)) return emptyList()
         rebalanceAfterMs = nowMs + settings.rebalanceIntervalMs
         val surplus = keptSeats()
             .groupBy { it.teamId }
-            .filter { (teamId, seats) -> seats.size > 1 && hasSettledVmWithoutSeat(teamId, replayed, nowMs) }
+            .filter { (teamId, seats) ->
+                seats.size > 1 &&
+                    candidates.hasSettledVmWithoutSeat(settings.seatIds(teamId), replayed, nowMs)
+            }
         val seatId = surplus.values.firstOrNull()?.maxByOrNull { it.index } ?: return emptyList()
         return listOf(closeForRelease(seatId))
     }
 
-    private fun hasSettledVmWithoutSeat(teamId: TeamId, replayed: SeatTable, nowMs: Long): Boolean {
-        val holders = seatIds(teamId).mapNotNullTo(HashSet()) { replayed.seat(it)?.holder?.vmId }
-        return liveVms.any { it !in holders && nowMs - liveSinceMs.getValue(it) >= settings.rebalanceIntervalMs }
-    }
-
-    private fun seatIds(teamId: TeamId) = List(settings.seatsPerTeam) { SeatId(teamId, it) }
-
     private fun newSequence(nowMs: Long): Long {
         val sequence = nextSequence++
         askMsBySequence[sequence] = nowMs
--- a/rates/src/main/kotlin/io/daisybend/rates/SeatRecord.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/SeatRecord.kt
@@ -4,18 +4,14 @@
  */
 package io.daisybend.rates
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.daisybend.kernel.Failure
+import io.daisybend.kernel.MalformedCbor
 import io.daisybend.kernel.TeamId
 import io.daisybend.kernel.VmId
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.KSerializer
+import io.daisybend.kernel.decodeCbor
+import io.daisybend.kernel.encodeCbor
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 
 /** One process on a VM; a later process on the same VM has a larger [incarnation]. */
 @Serializable
@@ -106,33 +102,9 @@
     public data class HistoryLost(val nextOffset: Long) : SeatRecord
 }
 
-/** Bytes that are no message of this module. */
-public data class MalformedRateBytes(override val message: String) : Failure
-
-@OptIn(ExperimentalSerializationApi::class)
-private val cbor = Cbor { ignoreUnknownKeys = true }
-
 /** Encodes this record for the platform's log. */
 public fun SeatRecord.encode(): ByteArray = encodeCbor(SeatRecord.serializer(), this)
 
-/** Decodes a record of the seat stream; fails with [MalformedRateBytes] when the bytes are none. */
-public fun decodeSeatRecord(bytes: ByteArray): Result<SeatRecord, MalformedRateBytes> =
+/** Decodes a record of the seat stream; fails with [MalformedCbor] when the bytes are none. */
+public fun decodeSeatRecord(bytes: ByteArray): Result<SeatRecord, MalformedCbor> =
     decodeCbor(SeatRecord.serializer(), bytes)
-
-@OptIn(ExperimentalSerializationApi::class)
-internal fun <T> encodeCbor(serializer: KSerializer<T>, value: T): ByteArray = cbor.encodeToByteArray(serializer, value)
-
-@OptIn(ExperimentalSerializationApi::class)
-internal fun <T> decodeCbor(serializer: KSerializer<T>, bytes: ByteArray): Result<T, MalformedRateBytes> = try {
-    Ok(cbor.decodeFromByteArray(serializer, bytes))
-} catch (e: SerializationException) {
-    Err(malformed(serializer, bytes, e))
-} catch (e: IllegalArgumentException) {
-    Err(malformed(serializer, bytes, e))
-} catch (e: IndexOutOfBoundsException) {
-    Err(malformed(serializer, bytes, e))
-}
-
-private fun malformed(serializer: KSerializer<*>, bytes: ByteArray, cause: Exception) = MalformedRateBytes(
-    "expected CBOR of ${serializer.descriptor.serialName}, got ${bytes.size} bytes: ${cause.message}",
-)
--- a/rates/src/main/kotlin/io/daisybend/rates/TeamRates.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/TeamRates.kt
@@ -36,24 +36,14 @@
 
     private class Admitted(val tokens: Long, val parts: List<Part>)
 
-    private class SeatReport(val balanceMicroTokens: Long, val atMs: Long)
-
-    private class Source(
-        val seatIndex: Int,
-        val holder: HolderId,
-        val availableMicroTokens: Long,
-        val preferenceMicroTokens: Long,
-    )
-
     private var share = limits.seatShare(settings.seatsPerTeam)
     private val heldSeats = HeldSeats(share)
     private var holders: List<HolderId?> = emptyList()
-    private val reports = HashMap<Int, SeatReport>()
+    private val seatReports = SeatReports()
     private val pending = LinkedHashMap<RequestId, Pending>()
     private val pendingByAsk = HashMap<Long, Pending>()
     private val admitted = HashMap<RequestId, Admitted>()
-    private val settlements = LinkedHashMap<HolderId, MutableList<SettledGrant>>()
-    private var settlementsSinceMs = 0L
+    private val settlements = SettlementQueue(teamId, self, settings)
     private var nextNumber = 0L
 
     var counters: RateCounters = RateCounters()
@@ -67,11 +57,11 @@
         limits = newLimits
         share = newLimits.seatShare(settings.seatsPerTeam)
         heldSeats.changeShare(share, nowMs)
-        reports.clear()
+        seatReports.clear()
     }
 
     fun changeHolders(newHolders: List<HolderId?>) {
-        newHolders.forEachIndexed { index, holder -> if (holders.getOrNull(index) != holder) reports.remove(index) }
+        newHolders.forEachIndexed { index, holder -> if (holders.getOrNull(index) != holder) seatReports.forget(index) }
         holders = newHolders
     }
 
@@ -110,14 +100,14 @@
         is RateMessage.Ask -> answer(message, nowMs)
         is RateMessage.Grant -> takeGrant(message, nowMs)
         is RateMessage.Settlements -> {
-            if (message.holder == self) message.grants.forEach { applySettlement(message.asker, it, nowMs) }
+            if (message.holder == self) message.grants.forEach { heldSeats.apply(it, message.asker, nowMs) }
             emptyList()
         }
     }
 
     fun tick(nowMs: Long): List<RateAction> {
         val timedOut = pending.values.filter { closeOldAsks(it, nowMs) }
-        return timedOut.flatMap { finishRound(it, nowMs) } + sendSettlements(nowMs)
+        return timedOut.flatMap { finishRound(it, nowMs) } + settlements.takeDue(nowMs)
     }
 
     private fun startRound(reservation: Pending, nowMs: Long): List<RateAction> {
@@ -131,44 +121,30 @@
     }
 
     /** The seats to draw from, best first; seats that seem equally full come in an order of the request's own. */
-    private fun sources(reservation: Pending, nowMs: Long): List<Source> {
-        val own = heldSeats.runningSeats(nowMs).map { ownSource(it, nowMs) }
+    private fun sources(reservation: Pending, nowMs: Long): List<TokenSource> {
+        val own = heldSeats.runningSeats(nowMs).map {
+            seatReports.ownSource(it, self, heldSeats.balanceMicroTokens(it, nowMs), share)
+        }
         val remote = holders.mapIndexedNotNull { index, holder ->
-            if (holder == null || holder.vmId == self.vmId) null else remoteSource(index, holder, nowMs)
+            if (holder == null ||
+                holder.vmId == self.vmId
+            ) {
+                null
+            } else {
+                seatReports.remoteSource(index, holder, share, nowMs)
+            }
         }
         val firstIndex = Math.floorMod(reservation.requestId.hashCode(), settings.seatsPerTeam)
         return (own + remote)
             .filter { it.availableMicroTokens > 0 && it.seatIndex !in reservation.exhaustedSeats }
             .sortedWith(
-                compareByDescending<Source> { it.preferenceMicroTokens }
+                compareByDescending<TokenSource> { it.preferenceMicroTokens }
                     .thenBy { Math.floorMod(it.seatIndex - firstIndex, settings.seatsPerTeam) },
             )
     }
 
-    private fun ownSource(seatIndex: Int, nowMs: Long): Source {
-        val balance = heldSeats.balanceMicroTokens(seatIndex, nowMs)
-        return Source(seatIndex, self, balance, balance + share.capacityMicroTokens / OWN_SEAT_BONUS_DIVISOR)
-    }
-
-    /** What an old report says is good enough to rank a seat, but not to do without asking its holder. */
-    private fun remoteSource(seatIndex: Int, holder: HolderId, nowMs: Long): Source {
-        val report = reports[seatIndex]
-            ?: return Source(seatIndex, holder, share.capacityMicroTokens, share.capacityMicroTokens)
-        val ageMs = nowMs - report.atMs
-        val refilled = if (ageMs >
-            LONGEST_REFILL_MS
-        ) {
-            share.capacityMicroTokens
-        } else {
-            ageMs * share.refillMicroTokensPerMs
-        }
-        val estimate = (report.balanceMicroTokens + refilled).coerceAtMost(share.capacityMicroTokens)
-        val available = if (ageMs > REPORT_LIFETIME_MS) share.capacityMicroTokens else estimate
-        return Source(seatIndex, holder, available, estimate)
-    }
-
     /** Takes from a seat held here at once; returns an ask for one held elsewhere. */
-    private fun take(reservation: Pending, source: Source, nowMs: Long): RateAction? {
+    private fun take(reservation: Pending, source: TokenSource, nowMs: Long): RateAction? {
         val wanted = minOf(source.availableMicroTokens, reservation.missingMicroTokens - reservation.askedMicroTokens)
         if (wanted <= 0) return null
         val number = nextNumber++
@@ -186,7 +162,7 @@
         if (granted > 0) reservation.parts += Part(seatIndex, self, number, granted, nowMs)
     }
 
-    private fun ask(reservation: Pending, source: Source, number: Long, wanted: Long, nowMs: Long): RateAction {
+    private fun ask(reservation: Pending, source: TokenSource, number: Long, wanted: Long, nowMs: Long): RateAction {
         reservation.openAsks[number] = Ask(source.seatIndex, source.holder, wanted, nowMs)
         pendingByAsk[number] = reservation
         counters = counters.copy(asksSent = counters.asksSent + 1)
@@ -195,26 +171,23 @@
     }
 
     private fun answer(ask: RateMessage.Ask, nowMs: Long): List<RateAction> {
-        val granted = if (ask.holder == self) grantTo(ask, nowMs) else 0
+        val grantId = GrantId(ask.asker, ask.askNumber)
+        val expiresAtMs = nowMs + settings.grantExpiryMs
+        val granted = when (ask.holder) {
+            self -> heldSeats.grant(ask.seatIndex, grantId, ask.wantedMicroTokens, expiresAtMs, nowMs)
+            else -> 0
+        }
         if (granted > 0) counters = counters.copy(grantsGiven = counters.grantsGiven + 1)
         val balance = heldSeats.balanceMicroTokens(ask.seatIndex, nowMs)
         val grant = RateMessage.Grant(teamId, ask.asker, ask.askNumber, ask.seatIndex, granted, balance)
         return listOf(RateAction.Send(ask.asker.vmId, grant))
     }
 
-    private fun grantTo(ask: RateMessage.Ask, nowMs: Long): Long = heldSeats.grant(
-        seatIndex = ask.seatIndex,
-        grantId = GrantId(ask.asker, ask.askNumber),
-        wantedMicroTokens = ask.wantedMicroTokens,
-        expiresAtMs = nowMs + settings.grantExpiryMs,
-        nowMs = nowMs,
-    )
-
     private fun takeGrant(grant: RateMessage.Grant, nowMs: Long): List<RateAction> {
         if (grant.asker != self) return emptyList()
         val reservation = pendingByAsk.remove(grant.askNumber) ?: return emptyList()
         val ask = reservation.openAsks.remove(grant.askNumber) ?: return emptyList()
-        reports[ask.seatIndex] = SeatReport(grant.balanceMicroTokens.coerceAtLeast(0), nowMs)
+        seatReports.note(ask.seatIndex, grant.balanceMicroTokens, nowMs)
         val granted = grant.grantedMicroTokens.coerceIn(0, ask.wantedMicroTokens)
         if (granted > 0) reservation.parts += Part(ask.seatIndex, ask.holder, grant.askNumber, granted, ask.askedMs)
         return if (reservation.openAsks.isEmpty()) finishRound(reservation, nowMs) else emptyList()
@@ -227,7 +200,7 @@
             reservation.openAsks.remove(number)
             pendingByAsk.remove(number)
             reservation.exhaustedSeats += ask.seatIndex
-            queueSettlement(ask.holder, SettledGrant(number, ask.seatIndex, ask.wantedMicroTokens), nowMs)
+            settlements.add(ask.holder, SettledGrant(number, ask.seatIndex, ask.wantedMicroTokens), nowMs)
         }
         counters = counters.copy(asksTimedOut = counters.asksTimedOut + old.size)
         return old.isNotEmpty() && reservation.openAsks.isEmpty()
@@ -254,7 +227,7 @@
         reservation.parts.forEach { part ->
             when (part.holder) {
                 self -> heldSeats.confirm(part.seatIndex, GrantId(self, part.number), nowMs)
-                else -> queueSettlement(part.holder, SettledGrant(part.number, part.seatIndex), nowMs)
+                else -> settlements.add(part.holder, SettledGrant(part.number, part.seatIndex), nowMs)
             }
         }
         val isLocal = reservation.parts.all { it.holder == self }
@@ -290,42 +263,12 @@
         reservation.parts.forEach { settlePart(it, it.microTokens, nowMs) }
         reservation.openAsks.forEach { (number, ask) ->
             pendingByAsk.remove(number)
-            queueSettlement(ask.holder, SettledGrant(number, ask.seatIndex, ask.wantedMicroTokens), nowMs)
+            settlements.add(ask.holder, SettledGrant(number, ask.seatIndex, ask.wantedMicroTokens), nowMs)
         }
     }
 
     private fun settlePart(part: Part, returnedMicroTokens: Long, nowMs: Long) = when (part.holder) {
         self -> heldSeats.settle(part.seatIndex, GrantId(self, part.number), returnedMicroTokens, nowMs)
-        else -> queueSettlement(part.holder, SettledGrant(part.number, part.seatIndex, returnedMicroTokens), nowMs)
-    }
-
-    private fun queueSettlement(holder: HolderId, grant: SettledGrant, nowMs: Long) {
-        if (settlements.isEmpty()) settlementsSinceMs = nowMs
-        val queue = settlements.getOrPut(holder) { mutableListOf() }
-        if (grant.returnedMicroTokens != null) queue.removeIf { it.askNumber == grant.askNumber }
-        queue += grant
-    }
-
-    private fun sendSettlements(nowMs: Long): List<RateAction> {
-        if (settlements.isEmpty() || nowMs - settlementsSinceMs < settings.settlementDelayMs) return emptyList()
-        val messages = settlements.map { (holder, grants) ->
-            RateAction.Send(holder.vmId, RateMessage.Settlements(teamId, self, holder, grants.toList()))
-        }
-        settlements.clear()
-        return messages
-    }
-
-    private fun applySettlement(asker: HolderId, grant: SettledGrant, nowMs: Long) {
-        val grantId = GrantId(asker, grant.askNumber)
-        when (val returned = grant.returnedMicroTokens) {
-            null -> heldSeats.confirm(grant.seatIndex, grantId, nowMs)
-            else -> heldSeats.settle(grant.seatIndex, grantId, returned, nowMs)
-        }
-    }
-
-    private companion object {
-        const val REPORT_LIFETIME_MS = 500L
-        const val LONGEST_REFILL_MS = 3_600_000L
-        const val OWN_SEAT_BONUS_DIVISOR = 4
+        else -> settlements.add(part.holder, SettledGrant(part.number, part.seatIndex, returnedMicroTokens), nowMs)
     }
 }
--- a/rates/src/main/kotlin/io/daisybend/rates/TermExtension.kt
+++ b/rates/src/main/kotlin/io/daisybend/rates/TermExtension.kt
@@ -42,9 +42,10 @@
         sentWitnesses.keys.removeIf { it <= sequence }
     }
 
-    /** Starts a new round when the last one is old enough. */
-    fun askWitnesses(nowMs: Long): List<SeatAction> {
-        val isDue = nowMs - round.askedMs >= settings.termMs / ROUNDS_PER_TERM
+    /** Starts a new round when the log has been silent for half a term and the last round is old enough. */
+    fun askWitnesses(holdsSeats: Boolean, nowMs: Long): List<SeatAction> {
+        val isLogSilent = nowMs - confirmedAskMs >= settings.termMs / 2
+        val isDue = holdsSeats && isLogSilent && nowMs - round.askedMs >= settings.termMs / ROUNDS_PER_TERM
         val isAllowed = nowMs + settings.termMs <= confirmedAskMs + settings.longestExtensionMs
         if (!isDue || !isAllowed) return emptyList()
         round = Round(round.number + 1, nowMs)
--- a/rates/src/test/kotlin/io/daisybend/rates/NaiveLimiters.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/NaiveLimiters.kt
@@ -97,7 +97,7 @@
 
 /** The real limiter, but a holder counts every grant as used at once instead of keeping it outstanding. */
 internal class ForgottenGrants(self: HolderId) : TestedLimiter {
-    private val limiter = RealLimiter(self, shortSettings.copy(grantValidityMs = 2_500, askTimeoutMs = 2_400))
+    private val limiter = RealLimiter(self, patientSettings)
 
     override val readFromOffset: Long get() = limiter.readFromOffset
 
@@ -114,6 +114,20 @@
     }
 }
 
+/** The real limiter, but as a witness it supports a holder without remembering it. */
+internal class ForgetfulWitness(self: HolderId) : TestedLimiter {
+    private val limiter = RealLimiter(self, shortSettings)
+    private val process = self
+
+    override val readFromOffset: Long get() = limiter.readFromOffset
+
+    override fun handle(event: RateEvent, nowMs: Long): List<RateAction> {
+        val ask = (event as? RateEvent.MessageReceived)?.message as? RateMessage.SupportAsk
+            ?: return limiter.handle(event, nowMs)
+        return listOf(RateAction.Send(ask.holder.vmId, RateMessage.Support(process, ask.holder, ask.round)))
+    }
+}
+
 /** The real limiter, but the first VM's own term never ends. */
 internal class EndlessTermOnFirstVm(self: HolderId) : TestedLimiter by RealLimiter(
     self,
--- a/rates/src/test/kotlin/io/daisybend/rates/OvershootChecker.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/OvershootChecker.kt
@@ -16,6 +16,7 @@
     private class Admission(val atMs: Long, var tokens: Long)
 
     private val admissions = ArrayList<Admission>()
+    private val refilledByMs = arrayListOf(0L)
     private val byRequest = HashMap<RequestId, Admission>()
 
     var overshoot: Overshoot? = null
@@ -24,10 +25,6 @@
     var admittedTokens = 0L
         private set
 
-    /** How close the admissions came to what is allowed. */
-    var smallestSlackMilliTokens = Long.MAX_VALUE
-        private set
-
     fun admit(requestId: RequestId, tokens: Long, atMs: Long) {
         val admission = Admission(atMs, tokens)
         check(byRequest.put(requestId, admission) == null) { "$requestId was admitted twice" }
@@ -45,28 +42,48 @@
         var allowedRefill = 0L
         var burst = 0L
         var reachedMs = toMs
-        for (admission in admissions.asReversed()) {
+        for (index in admissions.indices.reversed()) {
+            val admission = admissions[index]
             allowedRefill += refillBetween(admission.atMs, reachedMs)
-            burst = maxOf(burst, largestBetween(admission.atMs, reachedMs) { it.burstTokens })
+            burst = maxOf(burst, largestBurstBetween(admission.atMs, reachedMs))
             reachedMs = admission.atMs
             sum += admission.tokens
             val allowed = burst * MILLI + allowedRefill
-            smallestSlackMilliTokens = minOf(smallestSlackMilliTokens, allowed - sum * MILLI)
             if (sum * MILLI > allowed && overshoot == null) overshoot = Overshoot(admission.atMs, toMs, sum, allowed)
         }
     }
 
     /** In thousandths of a token. */
-    private fun refillBetween(fromMs: Long, toMs: Long): Long {
-        if (periods.size == 1) return (toMs - fromMs) * periods[0].limits.rateTokensPerSecond
-        return (fromMs until toMs).sumOf { atMs -> largestBetween(atMs, atMs) { it.rateTokensPerSecond } }
+    private fun refillBetween(fromMs: Long, toMs: Long): Long =
+        if (periods.size ==
+            1
+        ) {
+            (toMs - fromMs) * periods[0].limits.rateTokensPerSecond
+        } else {
+            refilledAt(toMs) - refilledAt(fromMs)
+        }
+
+    private fun refilledAt(atMs: Long): Long {
+        while (refilledByMs.size <= atMs) {
+            val lastMs = refilledByMs.size - 1L
+            val ratesInForce = periods.indices.filter { isInForce(it, lastMs, lastMs) }
+            refilledByMs += refilledByMs.last() + ratesInForce.maxOf { periods[it].limits.rateTokensPerSecond }
+        }
+        return refilledByMs[atMs.toInt()]
     }
 
-    private fun largestBetween(fromMs: Long, toMs: Long, amount: (TeamLimits) -> Long): Long = periods.indices
-        .filter { periods[it].fromMs <= toMs && endMs(it) >= fromMs }
-        .maxOf { amount(periods[it].limits) }
+    private fun largestBurstBetween(fromMs: Long, toMs: Long): Long {
+        var largest = 0L
+        for (index in periods.indices) {
+            if (isInForce(index, fromMs, toMs)) largest = maxOf(largest, periods[index].limits.burstTokens)
+        }
+        return largest
+    }
 
-    private fun endMs(index: Int) = periods.getOrNull(index + 1)?.let { it.fromMs + inForceAfterMs } ?: Long.MAX_VALUE
+    private fun isInForce(index: Int, fromMs: Long, toMs: Long): Boolean {
+        val endMs = if (index == periods.lastIndex) Long.MAX_VALUE else periods[index + 1].fromMs + inForceAfterMs
+        return periods[index].fromMs <= toMs && endMs >= fromMs
+    }
 
     private companion object {
         const val MILLI = 1_000L
--- a/rates/src/test/kotlin/io/daisybend/rates/RateHarness.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/RateHarness.kt
@@ -72,6 +72,7 @@
     var nowMs = 0L
         private set
     var isLogUp = true
+    var grantDelayMs = 0L
     val cutPairs = HashSet<Set<Int>>()
     var refusedRequests = 0
         private set
@@ -209,8 +210,9 @@
     private fun send(from: Vm, action: RateAction.Send) {
         val to = vms.first { it.vmId == action.toVmId }
         if (setOf(from.index, to.index) in cutPairs || random.nextDouble() < faults.lossChance) return
+        val heldBackMs = if (action.message is RateMessage.Grant) grantDelayMs else 0
         repeat(copies()) {
-            schedule(delayMs()) { deliver(to) { RateEvent.MessageReceived(action.message) } }
+            schedule(heldBackMs + delayMs()) { deliver(to) { RateEvent.MessageReceived(action.message) } }
         }
     }
 
--- a/rates/src/test/kotlin/io/daisybend/rates/RateScheduleTest.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/RateScheduleTest.kt
@@ -40,16 +40,33 @@
         firstOvershoot { NaiveUnboundedGrants(it, seatLimits) }.shouldNotBeNull()
     }
 
+    test("grants delayed in a buffer until the buckets are full again add nothing") {
+        holdBackGrants { RealLimiter(it, patientSettings) }.checker.overshoot shouldBe null
+    }
+
     test("the checker finds overshoot when holders forget grants that an asker may still use") {
-        firstOvershoot { ForgottenGrants(it) }.shouldNotBeNull()
+        holdBackGrants { ForgottenGrants(it) }.checker.overshoot.shouldNotBeNull()
+    }
+
+    test("a holder cut off from the log and from its peers stops spending before its successor starts") {
+        val harness = cutHolderFromLog(cutFromPeers = true) { RealLimiter(it, shortSettings) }
+        harness.checker.overshoot shouldBe null
+    }
+
+    test("a holder cut off from the log goes on with the support of its witnesses") {
+        val harness = cutHolderFromLog(cutFromPeers = false, cutMs = 3_500) { RealLimiter(it, shortSettings) }
+        harness.checker.overshoot shouldBe null
+        harness.checker.admittedTokens shouldBeGreaterThan seatLimits.burstTokens * 95 / 100
     }
 
-    test("a holder cut off from the log stops spending before its successor starts") {
-        cutHolderFromLog { RealLimiter(it, shortSettings) }.checker.overshoot shouldBe null
+    test("the checker finds overshoot when witnesses forget whom they support") {
+        val harness = cutHolderFromLog(cutFromPeers = false, cutMs = 3_500) { ForgetfulWitness(it) }
+        harness.checker.overshoot.shouldNotBeNull()
     }
 
     test("the checker finds overshoot when a holder cut off from the log does not notice that its term is over") {
-        cutHolderFromLog { EndlessTermOnFirstVm(it) }.checker.overshoot.shouldNotBeNull()
+        val harness = cutHolderFromLog(cutFromPeers = true) { EndlessTermOnFirstVm(it) }
+        harness.checker.overshoot.shouldNotBeNull()
     }
 }) {
     private companion object {
@@ -76,7 +93,36 @@
     randomSchedule(it, createLimiter = createLimiter).checker.overshoot
 }
 
-private fun cutHolderFromLog(createLimiter: (HolderId) -> TestedLimiter): RateHarness {
+/** Askers wait long for grants. */
+internal val patientSettings = shortSettings.copy(grantValidityMs = 2_500, askTimeoutMs = 2_400)
+
+/** Lets the grants of one flood arrive in the middle of the next. */
+private fun holdBackGrants(createLimiter: (HolderId) -> TestedLimiter): RateHarness {
+    val harness = RateHarness(
+        vmCount = 5,
+        random = Random(1),
+        faults = Faults(),
+        periods = listOf(LimitsPeriod(0, seatLimits)),
+        createLimiter = createLimiter,
+    )
+    harness.vms.forEach { harness.start(it) }
+    harness.tellLiveVms()
+    harness.runUntil(3_000)
+    harness.grantDelayMs = 2_200
+    repeat(200) { harness.offer(harness.vms[it % harness.vmCount], tokens = 10, usedTokens = 10, holdMs = 100) }
+    harness.runUntil(5_195)
+    harness.grantDelayMs = 0
+    repeat(500) { harness.offer(harness.vms[it % harness.vmCount], tokens = 10, usedTokens = 10, holdMs = 100) }
+    harness.runUntil(8_000)
+    return harness
+}
+
+/** Fills all buckets, then floods every VM with requests while the holders on the first VM cannot reach the log. */
+private fun cutHolderFromLog(
+    cutFromPeers: Boolean,
+    cutMs: Long = 4_000,
+    createLimiter: (HolderId) -> TestedLimiter,
+): RateHarness {
     val harness = RateHarness(
         vmCount = 5,
         random = Random(1),
@@ -87,10 +133,12 @@
     harness.vms.forEach { harness.start(it) }
     harness.tellLiveVms()
     harness.runUntil(3_000)
-    harness.vms[0].isCutFromLog = true
-    harness.runUntil(12_000)
+    val cutVm = harness.vms[0]
+    cutVm.isCutFromLog = true
+    if (cutFromPeers) harness.vms.forEach { harness.cutPairs += setOf(cutVm.index, it.index) }
+    harness.runUntil(3_000 + cutMs)
     repeat(500) { harness.offer(harness.vms[it % harness.vmCount], tokens = 10, usedTokens = 10, holdMs = 100) }
-    harness.runUntil(14_000)
+    harness.runUntil(9_000)
     return harness
 }
 
--- /dev/null
+++ b/rates/src/test/kotlin/io/daisybend/rates/SeatBucketTest.kt
@@ -0,0 +1,138 @@
+package io.daisybend.rates
+
+import io.daisybend.kernel.VmId
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlin.random.Random
+
+class SeatBucketTest : FunSpec({
+    fun bucket(balance: Long = 100) = SeatBucket(SeatShare(refillMicroTokensPerMs = 1, 100), balance, refillFromMs = 0)
+
+    fun grantId(number: Long) = GrantId(HolderId(VmId("asker"), 1), number)
+
+    test("refills up to its capacity") {
+        bucket(balance = 0).balanceMicroTokens(nowMs = 30) shouldBe 30
+        bucket(balance = 0).balanceMicroTokens(nowMs = 500) shouldBe 100
+    }
+
+    test("does not refill above the capacity less the outstanding grants") {
+        val bucket = bucket()
+        bucket.grant(grantId(1), wantedMicroTokens = 60, expiresAtMs = 1_000, nowMs = 0) shouldBe 60
+        bucket.balanceMicroTokens(nowMs = 900) shouldBe 40
+        bucket.balanceMicroTokens(nowMs = 1_050) shouldBe 40
+        bucket.balanceMicroTokens(nowMs = 1_080) shouldBe 70
+    }
+
+    test("answers a repeated ask without granting again") {
+        val bucket = bucket()
+        bucket.grant(grantId(1), 60, expiresAtMs = 1_000, nowMs = 0) shouldBe 60
+        bucket.grant(grantId(1), 60, expiresAtMs = 1_000, nowMs = 0) shouldBe 60
+        bucket.balanceMicroTokens(nowMs = 0) shouldBe 40
+    }
+
+    test("restores what was returned at once") {
+        val bucket = bucket()
+        bucket.grant(grantId(1), 60, expiresAtMs = 1_000, nowMs = 0)
+        bucket.confirm(grantId(1), nowMs = 0)
+        bucket.settle(grantId(1), returnedMicroTokens = 50, nowMs = 0)
+        bucket.balanceMicroTokens(nowMs = 0) shouldBe 90
+    }
+
+    test("takes a return only once") {
+        val bucket = bucket()
+        bucket.grant(grantId(1), 60, expiresAtMs = 1_000, nowMs = 0)
+        repeat(2) { bucket.settle(grantId(1), returnedMicroTokens = 20, nowMs = 0) }
+        bucket.balanceMicroTokens(nowMs = 0) shouldBe 60
+    }
+
+    test("restores nothing that the refill has replaced") {
+        val bucket = bucket()
+        bucket.grant(grantId(1), 100, expiresAtMs = 1_000, nowMs = 0)
+        bucket.confirm(grantId(1), nowMs = 0)
+        bucket.grant(grantId(2), 100, expiresAtMs = 1_000, nowMs = 100) shouldBe 100
+        bucket.settle(grantId(1), returnedMicroTokens = 90, nowMs = 101)
+        bucket.balanceMicroTokens(nowMs = 101) shouldBe 0
+    }
+
+    test("a smaller share takes effect at once") {
+        val bucket = bucket()
+        bucket.changeShare(SeatShare(refillMicroTokensPerMs = 1, capacityMicroTokens = 10), nowMs = 0)
+        bucket.balanceMicroTokens(nowMs = 500) shouldBe 10
+    }
+
+    test("never spends more than a bucket that knew the use of each request in advance") {
+        checkAll(PropTestConfig(seed = 1, iterations = 2_000), Arb.long()) { seed ->
+            spentAgainstAdvanceKnowledge(seed, restoreEverything = false).shouldBeLessThanOrEqual(0)
+        }
+    }
+
+    test("a bucket that restores every return spends more than one that knew the use in advance") {
+        (1L..200L).firstOrNull { spentAgainstAdvanceKnowledge(it, restoreEverything = true) > 0 }.shouldNotBeNull()
+    }
+})
+
+/**
+ * Spends whatever [SeatBucket], or a bucket that restores every return, allows and returns the largest amount by which
+ * some interval's net use exceeds the capacity and the refill in it.
+ */
+private fun spentAgainstAdvanceKnowledge(seed: Long, restoreEverything: Boolean): Long {
+    val random = Random(seed)
+    val share = SeatShare(refillMicroTokensPerMs = 3, capacityMicroTokens = 1_000)
+    val bucket = SeatBucket(share, 1_000, refillFromMs = 0)
+    val plain = PlainBucket(share)
+    val spent = ArrayList<LongArray>()
+    val open = HashMap<Long, Long>()
+    var worst = Long.MIN_VALUE
+    for (nowMs in 0L..2_000L step 20) {
+        val number = nowMs / 20
+        val wanted = random.nextLong(1, 700)
+        val granted = if (restoreEverything) {
+            plain.take(wanted, nowMs)
+        } else {
+            bucket.grant(grantIdOf(number), wanted, expiresAtMs = nowMs + 1_000, nowMs = nowMs)
+        }
+        spent += longArrayOf(nowMs, granted)
+        worst = maxOf(worst, worstExcess(spent, nowMs, share))
+        if (granted > 0) open[number] = granted
+        if (random.nextBoolean()) bucket.confirm(grantIdOf(number), nowMs)
+        open.keys.filter { random.nextInt(10) == 0 }.forEach { settled ->
+            val returned = random.nextLong(open.getValue(settled) + 1)
+            open.remove(settled)
+            if (restoreEverything) plain.giveBack(returned) else bucket.settle(grantIdOf(settled), returned, nowMs)
+            spent[settled.toInt()][1] -= returned
+        }
+    }
+    return worst
+}
+
+private fun worstExcess(spent: List<LongArray>, nowMs: Long, share: SeatShare): Long {
+    var sum = 0L
+    return spent.asReversed().maxOf { (atMs, amount) ->
+        sum += amount
+        sum - share.capacityMicroTokens - (nowMs - atMs) * share.refillMicroTokensPerMs
+    }
+}
+
+private class PlainBucket(private val share: SeatShare) {
+    private var balance = share.capacityMicroTokens
+    private var refilledToMs = 0L
+
+    fun take(wanted: Long, nowMs: Long): Long {
+        val refill = (nowMs - refilledToMs) * share.refillMicroTokensPerMs
+        balance = minOf(share.capacityMicroTokens, balance + refill)
+        refilledToMs = nowMs
+        return minOf(balance, wanted).also { balance -= it }
+    }
+
+    fun giveBack(amount: Long) {
+        balance = minOf(share.capacityMicroTokens, balance + amount)
+    }
+}
+
+private fun grantIdOf(number: Long) = GrantId(HolderId(VmId("asker"), 1), number)
--- a/rates/src/test/kotlin/io/daisybend/rates/WrongfulRefusals.kt
+++ b/rates/src/test/kotlin/io/daisybend/rates/WrongfulRefusals.kt
@@ -5,6 +5,7 @@
 package io.daisybend.rates
 
 import io.daisybend.kernel.RequestId
+import io.daisybend.kernel.VmId
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -78,7 +79,7 @@
 /** One bucket that sees every request without delay. */
 private class IdealBucket {
     val admittedIds = HashSet<RequestId>()
-    private val holder = HolderId(io.daisybend.kernel.VmId("ideal"), 0)
+    private val holder = HolderId(VmId("ideal"), 0)
     private val bucket = SeatBucket(
         SeatShare(limits.rateTokensPerSecond * 1_000, limits.burstTokens * MICRO_TOKENS_PER_TOKEN),
         limits.burstTokens * MICRO_TOKENS_PER_TOKEN,
