Let commands wait for a daemon's first configuration; add metrics

Ruled out: retrying in the tool, which other clients would have to copy.

Change: commands wait up to 5 s for the first configuration. Metrics for revision, offset and confirmation.

--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -22,6 +22,7 @@
 import io.daisybend.daemon.configuration.ConfigurationRoutes
 import io.daisybend.daemon.configuration.FollowedConfiguration
 import io.daisybend.daemon.configuration.SnapshotTask
+import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -189,6 +190,7 @@
     /** Starts serving; fails when no plug-in offers the caller protocol, throws when an address cannot be bound. */
     public suspend fun start(): Result<Unit, UnknownImplementation> = callers.map { callerInterface ->
         JvmMetrics.builder().register(metrics)
+        registerConfigurationMetrics(metrics, configuration)
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { addresses.follow() }
         configuration.start()
--- a/daemon/src/main/kotlin/io/daisybend/daemon/configuration/ConfigurationRoutes.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/configuration/ConfigurationRoutes.kt
@@ -72,7 +72,7 @@
     }
 
     private suspend fun applyManifest(call: ApplicationCall) {
-        val state = configuration.state ?: return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
+        val state = configuration.awaitState() ?: return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
         val changeId = ChangeId(call.request.queryParameters["changeId"] ?: UUID.randomUUID().toString())
         val expected = call.request.queryParameters["expectedRevision"]?.toLongOrNull() ?: state.manifestRevision
         readManifest(call.receiveText(), state.withdrawnKeyIds).fold(
@@ -88,7 +88,7 @@
     }
 
     private suspend fun submitChange(call: ApplicationCall) {
-        if (configuration.state == null) return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
+        if (configuration.awaitState() == null) return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
         val text = call.receiveText()
         val record = runCatching { adminJson.decodeFromString(ConfigurationRecord.Change.serializer(), text) }
             .getOrElse { return call.refuse(malformedChange(it), HttpStatusCode.BadRequest) }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/configuration/FollowedConfiguration.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/configuration/FollowedConfiguration.kt
@@ -43,7 +43,11 @@
 import io.daisybend.transport.PeerNetwork
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.filterNotNull
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 /** The ports that the configuration of one VM uses; [otherVms] is null until the list of VMs is known. */
@@ -68,10 +72,9 @@
     private val follower = ConfigurationFollower(settings)
     private val requests = KeyedRequests()
 
-    @Volatile
-    private var inForce: InForce? = null
+    private val inForce = MutableStateFlow<InForce?>(null)
 
-    override val state: ConfigurationState? get() = inForce?.state
+    override val state: ConfigurationState? get() = inForce.value?.state
 
     override val confirmedUntilMs: Long? get() = synchronized(lock) { follower.confirmedUntilMs }
 
@@ -81,7 +84,7 @@
     override fun isReplayedByMajority(nextOffset: Long, nowMs: Long): Boolean =
         synchronized(lock) { follower.isReplayedByMajority(nextOffset, nowMs) }
 
-    override fun current(): ConfigurationIndex? = inForce?.index
+    override fun current(): ConfigurationIndex? = inForce.value?.index
 
     override fun confirmCurrent(): Result<Unit, RequestFailure> =
         if (freshness is Freshness.Unconfirmed) {
@@ -91,7 +94,7 @@
         }
 
     override fun authenticate(key: String): Result<Caller, RequestFailure> = confirmCurrent().andThen {
-        val keys = inForce?.keys ?: return Err(unconfirmed())
+        val keys = inForce.value?.keys ?: return Err(unconfirmed())
         keys.find(key)
             .map { Caller(it.teamId, it.keyId) }
             .mapError { RequestFailure.Unauthenticated(it.message) }
@@ -101,6 +104,10 @@
         if (state?.tables?.keys?.containsKey(keyId) == true) null else withdrawn
     }
 
+    /** Returns the configuration in force as soon as there is one, or null if there is none in time. */
+    suspend fun awaitState(): ConfigurationState? =
+        withTimeoutOrNull(FIRST_STATE_TIMEOUT_MS) { inForce.filterNotNull().first().state }
+
     /** Starts to answer peers and to follow. */
     fun start() {
         ports.peers.handle(CHANNEL) { from, payload -> answer(from, payload) }
@@ -126,10 +133,10 @@
     }
 
     private fun publish(state: ConfigurationState) {
-        val before = inForce
+        val before = inForce.value
         val isChanged = before?.state?.tables !== state.tables
         val index = if (isChanged) indexOf(state) else before.index
-        inForce = InForce(state, KeyIndex(state), index)
+        inForce.value = InForce(state, KeyIndex(state), index)
         if (before?.state?.revision != state.revision) {
             ports.timeline.record("configuration-applied", detail = "revision ${state.revision}")
         }
@@ -216,6 +223,7 @@
         const val TICK_INTERVAL_MS = 100L
         const val PEER_TIMEOUT_MS = 2_000L
         const val RETRY_AFTER_MS = 1_000L
+        const val FIRST_STATE_TIMEOUT_MS = 5_000L
         val withdrawn = RequestFailure.KeyWithdrawn(ExecutionStatus.UNKNOWN)
         val notConfirmedInFlight =
             RequestFailure.Unavailable(Freshness.Unconfirmed.message, ExecutionStatus.UNKNOWN, RETRY_AFTER_MS)
