--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -28,6 +28,7 @@
 import io.daisybend.daemon.dispatch.ResumingModelDispatcher
 import io.daisybend.daemon.dispatch.dispatchOnce
 import io.daisybend.daemon.dispatch.dispatchPeers
+import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -208,6 +209,7 @@
             idempotentCalls.receive(payload)
             ByteArray(0)
         }
+        registerConfigurationMetrics(metrics, configuration)
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { idempotentCalls.keepTime() }
         scope.launch { addresses.follow() }
