--- /dev/null
+++ b/placement/src/test/kotlin/io/daisybend/placement/EndpointRankingTest.kt
@@ -0,0 +1,83 @@
+package io.daisybend.placement
+
+import io.daisybend.kernel.EndpointId
+import io.daisybend.kernel.FailureDomainId
+import io.daisybend.kernel.ModelId
+import io.daisybend.kernel.VmId
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+class EndpointRankingTest : FunSpec({
+    val artifact = Artifact(ModelId("model-1"))
+    val candidates = (1..6).map { EndpointCandidate(EndpointId("engine-$it"), FailureDomainId("fd-${it % 3}")) }
+
+    fun ledger(): PlacementLedger = PlacementLedger().also { ledger ->
+        candidates.forEachIndexed { offset, candidate ->
+            val owner = OwnerId(VmId("vm-1"), "run-1")
+            val claim = PlacementRecord.Claim(
+                RecordId("c$offset"),
+                candidate.endpointId,
+                owner,
+                NO_FENCE,
+                EndpointCapacity(memoryBytes = 100),
+            )
+            ledger.apply(offset.toLong(), claim)
+        }
+    }
+
+    fun PlacementLedger.load(endpointId: EndpointId, artifact: Artifact, bytes: Long) {
+        val fence = checkNotNull(endpoint(endpointId)).fence
+        val revision = replicas(artifact.replicaKey).revision
+        val id = RecordId("l$nextOffset")
+        apply(nextOffset, PlacementRecord.DecideLoad(id, endpointId, fence, artifact, bytes, revision)).refusal shouldBe
+            null
+        val entry = checkNotNull(endpoint(endpointId))
+        val seen = PlacementRecord.Observed(
+            RecordId("o$nextOffset"),
+            endpointId,
+            fence,
+            entry.lastOffset,
+            loaded = listOf(artifact),
+            settledOrders = listOf(id),
+        )
+        apply(nextOffset, seen).refusal shouldBe null
+    }
+
+    test("planners with the same inputs in another order choose the same endpoint") {
+        ledger().rankEndpoints(artifact, candidates.reversed()) shouldBe ledger().rankEndpoints(artifact, candidates)
+    }
+
+    test("a second replica goes to another failure domain") {
+        val ledger = ledger()
+        val first = ledger.rankEndpoints(artifact, candidates).first()
+        ledger.load(first.endpointId, artifact, bytes = 10)
+        val second = ledger.rankEndpoints(artifact, candidates).first()
+        (second.failureDomainId == first.failureDomainId) shouldBe false
+    }
+
+    test("a nearer checkpoint goes before the rendezvous rank") {
+        val last = ledger().rankEndpoints(artifact, candidates).last()
+        val near = candidates.map {
+            if (it.endpointId == last.endpointId) it.copy(locality = CheckpointLocality.MEMORY) else it
+        }
+        ledger().rankEndpoints(artifact, near).first().endpointId shouldBe last.endpointId
+    }
+
+    test("the cheapest victim is evicted when no endpoint has room, and never one that must stay") {
+        val ledger = ledger()
+        candidates.forEachIndexed { index, it -> ledger.load(it.endpointId, Artifact(ModelId("old-$index")), 90) }
+        val cost = EvictionCost { _, it -> if (it.modelId.value == "old-3") 1.0 else null }
+        ledger.chooseEndpoint(artifact, 20, candidates, evictionCost = cost)
+            .shouldBeInstanceOf<PlacementChoice.Evict>().endpointId shouldBe candidates[3].endpointId
+        ledger.chooseEndpoint(artifact, 20, candidates) shouldBe PlacementChoice.NoRoom
+    }
+
+    test("nothing is done when enough replicas are decided") {
+        val ledger = ledger()
+        ledger.load(candidates.first().endpointId, artifact, bytes = 10)
+        ledger.chooseEndpoint(artifact, 10, candidates) shouldBe PlacementChoice.Placed
+        ledger.chooseEndpoint(artifact, 10, candidates, wantedReplicas = 2)
+            .shouldBeInstanceOf<PlacementChoice.Load>()
+    }
+})
