Load models through ownership and the placement ledger in the daemon

Cause: the thin version loaded at the first-ranked engine without a decision, so two VMs could load at once and nothing counted memory.

The daemon follows the ledger, plans ownership from the list of VMs, feeds the owners in shards, and asks the owner of the chosen endpoint for a replica while none is loaded. The time line shows claim, decision, order, answer and observation with their offsets; status shows owners, fences, offsets and replicas.

--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -24,13 +24,17 @@
 import io.daisybend.daemon.gateway.GatewayLimits
 import io.daisybend.daemon.lifecycle.Lifecycle
 import io.daisybend.daemon.lifecycle.LifecyclePhase
+import io.daisybend.daemon.placement.PlacedModelAccess
+import io.daisybend.daemon.placement.PlacementRuntime
+import io.daisybend.daemon.placement.PlacementStatus
+import io.daisybend.daemon.placement.ReplicaRequests
+import io.daisybend.daemon.placement.ReplicaUsage
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
 import io.daisybend.daemon.thin.DirectModelDispatcher
 import io.daisybend.daemon.thin.DirectServiceDispatcher
 import io.daisybend.daemon.thin.ListedAddresses
 import io.daisybend.daemon.thin.LocalConfiguration
-import io.daisybend.daemon.thin.LocalModelAccess
 import io.daisybend.daemon.thin.LocalRateLimiter
 import io.daisybend.daemon.thin.ManifestRoutes
 import io.daisybend.kernel.Failure
@@ -46,6 +50,7 @@
 import io.daisybend.kernel.plugin.PortRegistry
 import io.daisybend.kernel.plugin.UnknownImplementation
 import io.daisybend.kernel.settings.Settings
+import io.daisybend.placement.OwnerId
 import io.daisybend.transport.PeerNetwork
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -65,6 +70,7 @@
 import org.slf4j.LoggerFactory
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.UUID
 
 /** A file that the settings name cannot be read. */
 public data class UnreadableSecret(val file: String) : Failure {
@@ -149,7 +155,19 @@
         ListedAddresses(ports.directory, settings[DaemonKeys.addressLifetime], ownEntry = ::ownEntry)
     private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
     private val configuration = LocalConfiguration(ports.log, timeline)
-    private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val placement = PlacementRuntime(
+        self = OwnerId(vmId, UUID.randomUUID().toString()),
+        log = ports.log,
+        engineClient = ports.engines,
+        configuration = configuration,
+        liveVms = { addresses.liveVmIds },
+        clock = clock,
+        timeline = timeline,
+        scope = scope,
+    )
+    private val replicaUsage = ReplicaUsage(clock)
+    private val replicaRequests = ReplicaRequests(vmId, placement, peers, replicaUsage, clock)
+    private val modelAccess = PlacedModelAccess(configuration, placement, replicaRequests, replicaUsage, clock)
     private val service = RequestService(
         steps = RequestSteps(
             authenticator = configuration,
@@ -176,7 +194,7 @@
             lifecycle = lifecycle,
             metrics = metrics,
             routes = listOf(ManifestRoutes(configuration), AddressRoute(addresses), stopRoute()),
-            statusSources = listOf(StatusSource { vmStatus() }),
+            statusSources = listOf(StatusSource { vmStatus() }, PlacementStatus(placement)),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
     )
@@ -187,6 +205,8 @@
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { addresses.follow() }
         scope.launch { configuration.follow() }
+        scope.launch { placement.follow() }
+        scope.launch { placement.tick() }
         operators.start()
         callerInterface.start()
         lifecycle.advanceTo(LifecyclePhase.SERVING)
--- a/daemon/src/main/kotlin/io/daisybend/daemon/thin/ListedAddresses.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/thin/ListedAddresses.kt
@@ -27,6 +27,11 @@
     var entries: List<VmEntry> = emptyList()
         private set
 
+    /** The live VMs; the same list as long as no VM has come or gone. */
+    @Volatile
+    var liveVmIds: List<VmId> = emptyList()
+        private set
+
     override fun addressesFor(teamId: TeamId?, modelId: ModelId?): AddressAnswer {
         val live = entries.filter { it.state == VmState.LIVE }.associateBy { it.vmId }
         val ranked = rankByRendezvous(teamId?.value.orEmpty(), live.keys).take(MAX_ADDRESSES)
@@ -41,11 +46,19 @@
     suspend fun follow() {
         while (true) {
             directory.register(ownEntry())
-            directory.list().onSuccess { entries = it }
+            directory.list().onSuccess { take(it) }
             delay(POLL_INTERVAL_MS)
         }
     }
 
+    private fun take(listed: List<VmEntry>) {
+        entries = listed
+        val live = listed.filter { it.state == VmState.LIVE && !isOwnAndLeaving(it) }.map { it.vmId }
+        if (live != liveVmIds) liveVmIds = live
+    }
+
+    private fun isOwnAndLeaving(entry: VmEntry) = ownEntry().let { it.vmId == entry.vmId && it.state != VmState.LIVE }
+
     private companion object {
         const val POLL_INTERVAL_MS = 500L
         const val MAX_ADDRESSES = 3
--- a/placement/src/main/kotlin/io/daisybend/placement/OwnershipPlanner.kt
+++ b/placement/src/main/kotlin/io/daisybend/placement/OwnershipPlanner.kt
@@ -28,8 +28,13 @@
     private class Pending(val wish: Wish, val sinceMs: Long)
 
     private val pending = HashMap<EndpointId, Pending>()
+    private val preferredOwners = HashMap<EndpointId, VmId?>()
+    private var rankedVms: Collection<VmId> = emptyList()
 
-    /** Returns what the owner of [endpointId] should be told now, or null; [liveVms] excludes leaving VMs. */
+    /**
+     * Returns what the owner of [endpointId] should be told now, or null; [liveVms] excludes leaving VMs and is never
+     * changed after it was passed.
+     */
     public fun plan(
         endpointId: EndpointId,
         entry: EndpointEntry?,
@@ -51,7 +56,7 @@
     }
 
     private fun wish(endpointId: EndpointId, entry: EndpointEntry?, liveVms: Collection<VmId>): Wish? {
-        val preferred = preferredOwner(endpointId, liveVms)
+        val preferred = rankedFirst(endpointId, liveVms)
         val owner = entry?.owner
         return when {
             owner == self -> Wish.HAND_OVER.takeIf { preferred != null && preferred != self.vmId }
@@ -62,6 +67,13 @@
         }
     }
 
+    /** Ranks again only when another list comes, since each ranking hashes every VM. */
+    private fun rankedFirst(endpointId: EndpointId, liveVms: Collection<VmId>): VmId? {
+        if (liveVms !== rankedVms) preferredOwners.clear()
+        rankedVms = liveVms
+        return preferredOwners.getOrPut(endpointId) { preferredOwner(endpointId, liveVms) }
+    }
+
     private fun delayMs(wish: Wish, entry: EndpointEntry?, liveVms: Collection<VmId>): Long =
         when (wish) {
             Wish.TAKE_OVER ->
