--- /dev/null
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/placement/ProcessSite.kt
@@ -0,0 +1,229 @@
+/*
+ * A site whose daemons are processes of their own, so that a test can kill and freeze them. It folds the platform's
+ * log by itself and compares the engine with what was decided.
+ */
+package io.daisybend.daemon.placement
+
+import com.github.michaelbull.result.getOrElse
+import io.daisybend.configuration.EndpointKind
+import io.daisybend.configuration.EndpointSpec
+import io.daisybend.configuration.Manifest
+import io.daisybend.configuration.ModelSpec
+import io.daisybend.configuration.TeamSpec
+import io.daisybend.daemon.TestKey
+import io.daisybend.daemon.TestSite.Companion.eventually
+import io.daisybend.daemon.TestSite.Companion.freePort
+import io.daisybend.kernel.EndpointId
+import io.daisybend.kernel.FailureDomainId
+import io.daisybend.kernel.ModelId
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.VmId
+import io.daisybend.placement.AppliedRecord
+import io.daisybend.placement.PLACEMENT_STREAM
+import io.daisybend.placement.PlacementLedger
+import io.daisybend.placement.PlacementRecord
+import io.daisybend.placement.decidedArtifact
+import io.daisybend.placement.placementRecordOf
+import io.daisybend.standins.EngineOptions
+import io.daisybend.standins.StandIn
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.Base64
+
+private const val TOKEN = "operators"
+private const val GIB = 1L shl 30
+
+/** A daemon in a process of its own. */
+class DaemonProcess(val vmId: VmId, val callers: String, val operators: String, private val process: Process) {
+    val isAlive: Boolean get() = process.isAlive
+
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    fun freeze() = signal("-STOP")
+
+    fun resume() = signal("-CONT")
+
+    private fun signal(name: String) {
+        check(ProcessBuilder("kill", name, process.pid().toString()).start().waitFor() == 0) { "kill $name failed" }
+    }
+}
+
+class ProcessSite private constructor(private val checksFencing: Boolean, private val dir: Path) {
+    private val platform = StandIn.platform(freePort()).start()
+    private val engine = StandIn.engine(freePort(), EngineOptions(MEMORY_BYTES, checksFencing = checksFencing)).start()
+    private val client = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout) { requestTimeoutMillis = 40_000 }
+    }
+    private val key = TestKey("key-a", TeamId("team-a"))
+    val engineId = EndpointId("engine-0")
+    val models = (1..3).map { ModelId("model-$it") }
+    val daemons = ArrayList<DaemonProcess>()
+
+    fun start(vmId: String): DaemonProcess {
+        val (callers, peers, operators) = List(3) { "127.0.0.1:${freePort()}" }
+        val ini = dir.resolve("$vmId.ini")
+        Files.writeString(ini, ini(vmId, callers, peers, operators))
+        val process = ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-cp", System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path"),
+            "io.daisybend.daemon.DaemonMainKt", "--config", ini.toString(),
+        ).redirectErrorStream(true).redirectOutput(dir.resolve("$vmId.log").toFile()).start()
+        return DaemonProcess(VmId(vmId), callers, operators, process).also { daemons += it }
+    }
+
+    private fun ini(vmId: String, callers: String, peers: String, operators: String) = """
+        [vm]
+        id = $vmId
+        failure_domain = domain-$vmId
+        region = test
+        [callers]
+        listen = $callers
+        [peers]
+        listen = $peers
+        secret_file = ${secretFile("peers")}
+        [operators]
+        listen = $operators
+        token_file = ${secretFile(TOKEN)}
+        [platform]
+        address = ${platform.address}
+    """.trimIndent()
+
+    private fun secretFile(secret: String): Path = Files.writeString(dir.resolve("$secret.secret"), secret)
+
+    private fun manifest() = Manifest(
+        models = models.map { ModelSpec(it, version = "1", weightsBytes = MODEL_BYTES) },
+        teams = listOf(TeamSpec(key.teamId, 1_000_000, 10_000_000, modelIds = models)),
+        keys = listOf(key.spec),
+        endpoints = listOf(
+            EndpointSpec(
+                endpointId = engineId,
+                kind = EndpointKind.ENGINE,
+                address = engine.address,
+                failureDomainId = FailureDomainId("domain-0"),
+                memoryBytes = MEMORY_BYTES,
+                checksFencing = checksFencing,
+            ),
+        ),
+    )
+
+    private suspend fun prepare() {
+        switch(platform, """{"vmExpiryMs":2000}""")
+        daemons.forEach { daemon -> awaitOk("http://${daemon.operators}/healthz") }
+        client.post("http://${daemons.first().operators}/admin/manifest") {
+            bearerAuth(TOKEN)
+            setBody(Json.encodeToString(Manifest.serializer(), manifest()))
+        }
+        daemons.forEach { daemon -> awaitOk("http://${daemon.operators}/readyz") }
+        eventually { ownerOrNull() != null }
+    }
+
+    private suspend fun awaitOk(url: String) =
+        eventually { runCatching { client.get(url).status.value == 200 }.getOrDefault(false) }
+
+    suspend fun slowLoads(delayMs: Long) = switch(engine, """{"loadDelayMs":$delayMs}""")
+
+    private suspend fun switch(standIn: StandIn, switches: String) {
+        client.post("http://${standIn.address}/switches") {
+            contentType(ContentType.Application.Json)
+            setBody(switches)
+        }
+    }
+
+    /** Asks for a completion and returns the HTTP status. */
+    suspend fun chat(through: DaemonProcess, modelId: ModelId): Int =
+        client.post("http://${through.callers}/v1/chat/completions") {
+            bearerAuth(key.text)
+            contentType(ContentType.Application.Json)
+            val message = """[{"role":"user","content":"hello"}]"""
+            setBody("""{"model":"$modelId","max_tokens":3,"messages":$message}""")
+        }.status.value
+
+    suspend fun owner(): DaemonProcess = checkNotNull(ownerOrNull())
+
+    private suspend fun ownerOrNull(): DaemonProcess? {
+        val owner = foldLog().ledger.endpoint(engineId)?.owner ?: return null
+        return daemons.find { it.vmId == owner.vmId && it.isAlive }
+    }
+
+    suspend fun loadsStarted(): Long = engineState().getValue("loadsStarted").jsonPrimitive.long
+
+    /** Checks that the engine's memory sufficed at all times and that every order it took was decided. */
+    suspend fun checkEngine() {
+        val state = engineState()
+        val decided = foldLog().applied.filter { it.refusal == null && it.record.decidedArtifact != null }
+        val decidedIds = decided.map { it.record.recordId.value }.toSet()
+        val taken = listOf("completedOrderIds", "loadingOrderIds")
+            .flatMap { state.getValue(it).jsonArray }
+            .map { it.jsonPrimitive.content }
+        (taken - decidedIds).shouldBeEmpty()
+        state.getValue("peakUsedBytes").jsonPrimitive.long shouldBeLessThanOrEqual MEMORY_BYTES
+    }
+
+    suspend fun decidedLoads(): Int =
+        foldLog().applied.count { it.refusal == null && it.record is PlacementRecord.DecideLoad }
+
+    private suspend fun engineState(): JsonObject =
+        Json.parseToJsonElement(client.get("http://${engine.address}/control/state").bodyAsText()).jsonObject
+
+    private class Fold(val ledger: PlacementLedger, val applied: List<AppliedRecord>)
+
+    private suspend fun foldLog(): Fold {
+        val body = client.get("http://${platform.address}/log/$PLACEMENT_STREAM?from=0&max=100000").bodyAsText()
+        val ledger = PlacementLedger()
+        val applied = Json.parseToJsonElement(body).jsonObject.getValue("records").jsonArray.map { element ->
+            val record = element.jsonObject
+            val payload = Base64.getDecoder().decode(record.getValue("payload").jsonPrimitive.content)
+            val offset = record.getValue("offset").jsonPrimitive.long
+            ledger.apply(offset, placementRecordOf(payload).getOrElse { error(it.message) })
+        }
+        return Fold(ledger, applied)
+    }
+
+    private fun close() {
+        daemons.filter { it.isAlive }.forEach { it.kill() }
+        engine.stop()
+        platform.stop()
+        client.close()
+    }
+
+    companion object {
+        const val MODEL_BYTES = 30 * GIB
+        const val MEMORY_BYTES = 80 * GIB
+
+        /** Runs [body] on a site with three daemons and one engine and ends everything afterwards. */
+        suspend fun run(checksFencing: Boolean, body: suspend (ProcessSite) -> Unit) {
+            val dir = Files.createTempDirectory("daisybend-site")
+            val site = ProcessSite(checksFencing, dir)
+            try {
+                repeat(3) { site.start("vm-$it") }
+                site.prepare()
+                body(site)
+            } finally {
+                site.close()
+                dir.toFile().deleteRecursively()
+            }
+        }
+    }
+}
