--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -17,6 +17,11 @@
 import io.daisybend.daemon.admin.StatusLine
 import io.daisybend.daemon.admin.StatusSource
 import io.daisybend.daemon.admin.respondAdmin
+import io.daisybend.daemon.configuration.ChangeSubmission
+import io.daisybend.daemon.configuration.ConfigurationPorts
+import io.daisybend.daemon.configuration.ConfigurationRoutes
+import io.daisybend.daemon.configuration.FollowedConfiguration
+import io.daisybend.daemon.configuration.SnapshotTask
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -24,19 +29,13 @@
 import io.daisybend.daemon.gateway.GatewayLimits
 import io.daisybend.daemon.lifecycle.Lifecycle
 import io.daisybend.daemon.lifecycle.LifecyclePhase
-import io.daisybend.daemon.placement.PlacedModelAccess
-import io.daisybend.daemon.placement.PlacementRuntime
-import io.daisybend.daemon.placement.PlacementStatus
-import io.daisybend.daemon.placement.ReplicaRequests
-import io.daisybend.daemon.placement.ReplicaUsage
+import io.daisybend.daemon.placement.ModelPlacement
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
 import io.daisybend.daemon.thin.DirectModelDispatcher
 import io.daisybend.daemon.thin.DirectServiceDispatcher
 import io.daisybend.daemon.thin.ListedAddresses
-import io.daisybend.daemon.thin.LocalConfiguration
 import io.daisybend.daemon.thin.LocalRateLimiter
-import io.daisybend.daemon.thin.ManifestRoutes
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.MillisClock
@@ -50,7 +49,6 @@
 import io.daisybend.kernel.plugin.PortRegistry
 import io.daisybend.kernel.plugin.UnknownImplementation
 import io.daisybend.kernel.settings.Settings
-import io.daisybend.placement.OwnerId
 import io.daisybend.transport.PeerNetwork
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -70,7 +68,6 @@
 import org.slf4j.LoggerFactory
 import java.nio.file.Files
 import java.nio.file.Path
-import java.util.UUID
 
 /** A file that the settings name cannot be read. */
 public data class UnreadableSecret(val file: String) : Failure {
@@ -154,26 +151,17 @@
     private val addresses =
         ListedAddresses(ports.directory, settings[DaemonKeys.addressLifetime], ownEntry = ::ownEntry)
     private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
-    private val configuration = LocalConfiguration(ports.log, timeline)
-    private val placement = PlacementRuntime(
-        self = OwnerId(vmId, UUID.randomUUID().toString()),
-        log = ports.log,
-        engineClient = ports.engines,
-        configuration = configuration,
-        liveVms = { addresses.liveVmIds },
-        clock = clock,
-        timeline = timeline,
-        scope = scope,
-    )
-    private val replicaUsage = ReplicaUsage(clock)
-    private val replicaRequests = ReplicaRequests(vmId, placement, peers, replicaUsage, clock)
-    private val modelAccess = PlacedModelAccess(configuration, placement, replicaRequests, replicaUsage, clock)
+    private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
+    private val configuration = FollowedConfiguration(configurationPorts, scope)
+    private val submission = ChangeSubmission(ports.log, configuration, clock)
+    private val placement =
+        ModelPlacement(vmId, ports, peers, configuration, { addresses.liveVmIds }, clock, timeline, scope)
     private val service = RequestService(
         steps = RequestSteps(
             authenticator = configuration,
             configuration = configuration,
             rates = LocalRateLimiter,
-            models = DirectModelDispatcher(modelAccess, ports.engines),
+            models = DirectModelDispatcher(placement.access, ports.engines),
             services = DirectServiceDispatcher(configuration, ports.services),
             addresses = addresses,
         ),
@@ -193,8 +181,8 @@
             timeline = timeline,
             lifecycle = lifecycle,
             metrics = metrics,
-            routes = listOf(ManifestRoutes(configuration), AddressRoute(addresses), stopRoute()),
-            statusSources = listOf(StatusSource { vmStatus() }, PlacementStatus(placement)),
+            routes = listOf(ConfigurationRoutes(configuration, submission), AddressRoute(addresses), stopRoute()),
+            statusSources = listOf(StatusSource { vmStatus() }, placement.status),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
     )
@@ -204,9 +192,9 @@
         JvmMetrics.builder().register(metrics)
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { addresses.follow() }
-        scope.launch { configuration.follow() }
-        scope.launch { placement.follow() }
-        scope.launch { placement.tick() }
+        configuration.start()
+        scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
+        placement.start()
         operators.start()
         callerInterface.start()
         lifecycle.advanceTo(LifecyclePhase.SERVING)
@@ -241,10 +229,20 @@
 
     private fun vmStatus(): List<StatusLine> {
         val own = StatusLine("vm", vmId.value, "${lifecycle.phase} ${lifecycle.requestsInProgress} requests")
-        val revision = StatusLine("configuration", vmId.value, "revision ${configuration.current()?.revision ?: 0}")
+        val revision = StatusLine("configuration", vmId.value, configurationStatus())
         return listOf(own, revision)
     }
 
+    private fun configurationStatus(): String {
+        val state = configuration.state ?: return "not known"
+        return "revision ${state.revision} offset ${state.nextOffset} ${configuration.freshness.javaClass.simpleName}"
+    }
+
+    /** Returns the other live VMs, or null before the list is known. */
+    private fun otherVms(): List<VmId>? = addresses.entries.ifEmpty { null }
+        ?.filter { it.state == VmState.LIVE && it.vmId != vmId }
+        ?.map { it.vmId }
+
     private fun configurationMissing(): String? =
         if (configuration.current() == null) "no configuration is known" else null
 
--- a/daemon/src/test/kotlin/io/daisybend/daemon/placement/ProcessSite.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/placement/ProcessSite.kt
@@ -131,14 +131,17 @@
     private suspend fun prepare() {
         switch(platform, """{"vmExpiryMs":2000}""")
         daemons.forEach { daemon -> awaitOk("http://${daemon.operators}/healthz") }
-        client.post("http://${daemons.first().operators}/admin/manifest") {
-            bearerAuth(TOKEN)
-            setBody(Json.encodeToString(Manifest.serializer(), manifest()))
-        }
+        eventually { apply(manifest()) == 200 }
         daemons.forEach { daemon -> awaitOk("http://${daemon.operators}/readyz") }
         eventually { ownerOrNull() != null }
     }
 
+    private suspend fun apply(manifest: Manifest): Int =
+        client.post("http://${daemons.first().operators}/admin/manifest") {
+            bearerAuth(TOKEN)
+            setBody(Json.encodeToString(Manifest.serializer(), manifest))
+        }.status.value
+
     private suspend fun awaitOk(url: String) =
         eventually { runCatching { client.get(url).status.value == 200 }.getOrDefault(false) }
 
