--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/ModelPlacement.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/ModelPlacement.kt
@@ -37,6 +37,7 @@
 
     fun start() {
         scope.launch { runtime.follow() }
+        scope.launch { runtime.plan() }
         scope.launch { runtime.tick() }
     }
 }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
@@ -85,10 +85,17 @@
         }
     }
 
-    /** Plans ownership and gives the owners their ticks until it is cancelled. */
-    suspend fun tick() {
+    /** Plans ownership until it is cancelled. */
+    suspend fun plan() {
         while (true) {
             if (follower.caughtUp) planOwnership()
+            delay(PLAN_INTERVAL_MS)
+        }
+    }
+
+    /** Gives the owners their ticks until it is cancelled. */
+    suspend fun tick() {
+        while (true) {
             owners.endpointIds().forEach { owners.handle(it, OwnerEvent.Tick) }
             delay(TICK_INTERVAL_MS)
         }
@@ -211,8 +218,9 @@
 
     private companion object {
         const val READ_INTERVAL_MS = 500L
+        const val PLAN_INTERVAL_MS = 500L
         const val TICK_INTERVAL_MS = 100L
         const val MAX_RECORDS = 500
-        const val SNAPSHOT_INTERVAL_RECORDS = 1_000L
+        const val SNAPSHOT_INTERVAL_RECORDS = 5_000L
     }
 }
--- a/placement/src/main/kotlin/io/daisybend/placement/EndpointRanking.kt
+++ b/placement/src/main/kotlin/io/daisybend/placement/EndpointRanking.kt
@@ -8,7 +8,7 @@
 
 import io.daisybend.kernel.EndpointId
 import io.daisybend.kernel.FailureDomainId
-import io.daisybend.kernel.rankByRendezvous
+import io.daisybend.kernel.firstByRendezvous
 
 /** Where the nearest copy of a checkpoint is, seen from an endpoint; nearest first. */
 public enum class CheckpointLocality { MEMORY, DISK, REMOTE }
@@ -42,23 +42,6 @@
     public fun costOf(endpointId: EndpointId, artifact: Artifact): Double?
 }
 
-/** Orders [candidates] for a replica of [artifact], best first. */
-public fun PlacementLedger.rankEndpoints(
-    artifact: Artifact,
-    candidates: List<EndpointCandidate>,
-): List<EndpointCandidate> {
-    val byId = candidates.associateBy { it.endpointId }
-    val taken = replicas(artifact.replicaKey).endpointIds
-    val takenDomains = taken.mapNotNullTo(HashSet()) { byId[it]?.failureDomainId }
-    return rankByRendezvous(artifact.replicaKey.toString(), byId.keys)
-        .map { byId.getValue(it) }
-        .sortedWith(
-            compareByDescending<EndpointCandidate> { holds(it.endpointId, artifact) }
-                .thenBy { it.failureDomainId in takenDomains }
-                .thenBy { it.locality },
-        )
-}
-
 /** Chooses what to do so that [wantedReplicas] replicas of [artifact] get decided; never fails. */
 public fun PlacementLedger.chooseEndpoint(
     artifact: Artifact,
@@ -69,10 +52,37 @@
 ): PlacementChoice {
     val replicas = replicas(artifact.replicaKey)
     if (replicas.endpointIds.count { !holds(it, artifact) } >= wantedReplicas) return PlacementChoice.Placed
-    val ranked = rankEndpoints(artifact, candidates).filter { modelAllows(it.endpointId, artifact) }
-    val roomy = ranked.firstOrNull { mayLoad(it.endpointId, artifact, weightsBytes) }
-    if (roomy != null) return PlacementChoice.Load(roomy.endpointId, replicas.revision)
-    return chooseVictim(weightsBytes, ranked, evictionCost)
+    val allowed = candidates.filter { modelAllows(it.endpointId, artifact) }
+    val roomy = allowed.filter { mayLoad(it.endpointId, artifact, weightsBytes) }
+    val best = firstRanked(artifact, roomy, takenDomains(replicas, candidates))
+    if (best != null) return PlacementChoice.Load(best, replicas.revision)
+    return chooseVictim(weightsBytes, allowed, evictionCost)
+}
+
+private fun takenDomains(replicas: ReplicaSet, candidates: List<EndpointCandidate>): Set<FailureDomainId> {
+    val taken = replicas.endpointIds.toSet()
+    return candidates.filter { it.endpointId in taken }.mapTo(HashSet()) { it.failureDomainId }
+}
+
+/** Returns the endpoint that heads the ranking without ordering the rest. */
+private fun PlacementLedger.firstRanked(
+    artifact: Artifact,
+    candidates: List<EndpointCandidate>,
+    takenDomains: Set<FailureDomainId>,
+): EndpointId? {
+    val preferred = candidates.groupBy { preferenceOf(it, artifact, takenDomains) }.minByOrNull { it.key }?.value
+    return firstByRendezvous(artifact.replicaKey.toString(), preferred.orEmpty().map { it.endpointId })
+}
+
+/** Smaller is better: memory held for the artifact, then a fresh failure domain, then the nearest checkpoint. */
+private fun PlacementLedger.preferenceOf(
+    candidate: EndpointCandidate,
+    artifact: Artifact,
+    takenDomains: Set<FailureDomainId>,
+): Int {
+    val held = if (holds(candidate.endpointId, artifact)) 0 else 1
+    val domain = if (candidate.failureDomainId in takenDomains) 1 else 0
+    return (held * 2 + domain) * CheckpointLocality.entries.size + candidate.locality.ordinal
 }
 
 private fun PlacementLedger.holds(endpointId: EndpointId, artifact: Artifact): Boolean =
@@ -90,10 +100,10 @@
 
 private fun PlacementLedger.chooseVictim(
     weightsBytes: Long,
-    ranked: List<EndpointCandidate>,
+    candidates: List<EndpointCandidate>,
     evictionCost: EvictionCost,
 ): PlacementChoice {
-    val victims = ranked.mapNotNull { endpoint(it.endpointId) }.flatMap { entry ->
+    val victims = candidates.mapNotNull { endpoint(it.endpointId) }.flatMap { entry ->
         entry.reservations
             .filter { it.phase == ReservationPhase.LOADED && entry.canFree(it) }
             .mapNotNull { r -> evictionCost.costOf(entry.endpointId, r.artifact)?.let { Victim(entry, r, it) } }
@@ -101,7 +111,9 @@
     val possible = victims.groupBy { it.entry.endpointId }.values.filter { all ->
         all.first().entry.freeBytes + all.sumOf { it.reservation.weightsBytes } >= weightsBytes
     }
-    val cheapest = possible.flatten().minByOrNull { it.cost } ?: return PlacementChoice.NoRoom
+    val cheapest = possible.flatten()
+        .minWithOrNull(compareBy({ it.cost }, { it.entry.endpointId.value }, { it.reservation.artifact.toString() }))
+        ?: return PlacementChoice.NoRoom
     val victim = cheapest.reservation.artifact
     return PlacementChoice.Evict(cheapest.entry.endpointId, victim, replicas(victim.replicaKey).revision)
 }
--- a/placement/src/test/kotlin/io/daisybend/placement/EndpointRankingTest.kt
+++ b/placement/src/test/kotlin/io/daisybend/placement/EndpointRankingTest.kt
@@ -4,9 +4,15 @@
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.ModelId
 import io.daisybend.kernel.VmId
+import io.daisybend.kernel.rankByRendezvous
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlin.random.Random
 
 class EndpointRankingTest : FunSpec({
     val artifact = Artifact(ModelId("model-1"))
@@ -44,24 +50,45 @@
         apply(nextOffset, seen).refusal shouldBe null
     }
 
+    fun PlacementLedger.chosen(candidates: List<EndpointCandidate>, replicas: Int = 1): EndpointCandidate {
+        val choice = chooseEndpoint(artifact, 10, candidates, replicas).shouldBeInstanceOf<PlacementChoice.Load>()
+        return candidates.first { it.endpointId == choice.endpointId }
+    }
+
     test("planners with the same inputs in another order choose the same endpoint") {
-        ledger().rankEndpoints(artifact, candidates.reversed()) shouldBe ledger().rankEndpoints(artifact, candidates)
+        ledger().chosen(candidates.reversed()) shouldBe ledger().chosen(candidates)
+    }
+
+    test("the choice heads the full ranking of the endpoints that have room") {
+        checkAll(PropTestConfig(seed = 5L, iterations = 500), Arb.int()) { seed ->
+            val random = Random(seed)
+            val ledger = ledger()
+            val mixed = candidates.map { it.copy(locality = CheckpointLocality.entries.random(random)) }
+            candidates.shuffled(random).take(random.nextInt(6)).forEach {
+                ledger.load(it.endpointId, Artifact(ModelId("old-${it.endpointId}")), bytes = 95)
+            }
+            val roomy = mixed.filter { checkNotNull(ledger.endpoint(it.endpointId)).freeBytes >= 10 }
+            val ranked = rankByRendezvous(artifact.replicaKey.toString(), roomy.map { it.endpointId })
+                .map { id -> roomy.first { it.endpointId == id } }
+                .sortedBy { it.locality }
+            ledger.chosen(mixed) shouldBe ranked.first()
+        }
     }
 
     test("a second replica goes to another failure domain") {
         val ledger = ledger()
-        val first = ledger.rankEndpoints(artifact, candidates).first()
+        val first = ledger.chosen(candidates)
         ledger.load(first.endpointId, artifact, bytes = 10)
-        val second = ledger.rankEndpoints(artifact, candidates).first()
+        val second = ledger.chosen(candidates, replicas = 2)
         (second.failureDomainId == first.failureDomainId) shouldBe false
     }
 
     test("a nearer checkpoint goes before the rendezvous rank") {
-        val last = ledger().rankEndpoints(artifact, candidates).last()
+        val other = (candidates - ledger().chosen(candidates)).first()
         val near = candidates.map {
-            if (it.endpointId == last.endpointId) it.copy(locality = CheckpointLocality.MEMORY) else it
+            if (it.endpointId == other.endpointId) it.copy(locality = CheckpointLocality.MEMORY) else it
         }
-        ledger().rankEndpoints(artifact, near).first().endpointId shouldBe last.endpointId
+        ledger().chosen(near).endpointId shouldBe other.endpointId
     }
 
     test("the cheapest victim is evicted when no endpoint has room, and never one that must stay") {
