--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -22,13 +22,13 @@
 import io.daisybend.daemon.configuration.ConfigurationRoutes
 import io.daisybend.daemon.configuration.FollowedConfiguration
 import io.daisybend.daemon.configuration.SnapshotTask
+import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.dispatch.AtMostOnceServiceDispatcher
 import io.daisybend.daemon.dispatch.DISPATCH_CHANNEL
 import io.daisybend.daemon.dispatch.IdempotentCalls
 import io.daisybend.daemon.dispatch.ResumingModelDispatcher
 import io.daisybend.daemon.dispatch.dispatchOnce
 import io.daisybend.daemon.dispatch.dispatchPeers
-import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -36,10 +36,10 @@
 import io.daisybend.daemon.gateway.GatewayLimits
 import io.daisybend.daemon.lifecycle.Lifecycle
 import io.daisybend.daemon.lifecycle.LifecyclePhase
+import io.daisybend.daemon.placement.ModelPlacement
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
 import io.daisybend.daemon.thin.ListedAddresses
-import io.daisybend.daemon.thin.LocalModelAccess
 import io.daisybend.daemon.thin.LocalRateLimiter
 import io.daisybend.dispatch.GatewayIncarnation
 import io.daisybend.kernel.Failure
@@ -161,7 +161,8 @@
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
-    private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val placement =
+        ModelPlacement(vmId, ports, peers, configuration, { addresses.liveVmIds }, clock, timeline, scope)
     private val idempotentCalls = IdempotentCalls(
         incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
         log = ports.log,
@@ -176,7 +177,7 @@
             authenticator = configuration,
             configuration = configuration,
             rates = LocalRateLimiter,
-            models = ResumingModelDispatcher(modelAccess, ports.engines, clock, timeline, scope),
+            models = ResumingModelDispatcher(placement.access, ports.engines, clock, timeline, scope),
             services = AtMostOnceServiceDispatcher(configuration, ports.services, idempotentCalls),
             addresses = addresses,
         ),
@@ -197,7 +198,7 @@
             lifecycle = lifecycle,
             metrics = metrics,
             routes = listOf(ConfigurationRoutes(configuration, submission), AddressRoute(addresses), stopRoute()),
-            statusSources = listOf(StatusSource { vmStatus() }),
+            statusSources = listOf(StatusSource { vmStatus() }, placement.status),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
     )
@@ -215,6 +216,7 @@
         scope.launch { addresses.follow() }
         configuration.start()
         scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
+        placement.start()
         operators.start()
         callerInterface.start()
         lifecycle.advanceTo(LifecyclePhase.SERVING)
