Account for rates over all VMs in the daemon, and stop gracefully by the stop cycle

Cause: the daemon admitted every request and stopped after one answer lifetime, whatever the other VMs had seen. Ruled out: refusing while no holder of a new team's seats is known; a request now waits up to 5 s for one. Change: FleetRateLimiter, FollowedVms and StopRunner replace the thin versions; new setting list_lag. Before: no limit.

--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -29,13 +29,16 @@
 import io.daisybend.daemon.gateway.GatewayLimits
 import io.daisybend.daemon.lifecycle.Lifecycle
 import io.daisybend.daemon.lifecycle.LifecyclePhase
+import io.daisybend.daemon.membership.FollowedVms
+import io.daisybend.daemon.membership.StopRunner
+import io.daisybend.daemon.membership.StopSteps
+import io.daisybend.daemon.rates.FleetRateLimiter
+import io.daisybend.daemon.rates.RatePorts
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
 import io.daisybend.daemon.thin.DirectModelDispatcher
 import io.daisybend.daemon.thin.DirectServiceDispatcher
-import io.daisybend.daemon.thin.ListedAddresses
 import io.daisybend.daemon.thin.LocalModelAccess
-import io.daisybend.daemon.thin.LocalRateLimiter
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.MillisClock
@@ -49,6 +52,7 @@
 import io.daisybend.kernel.plugin.PortRegistry
 import io.daisybend.kernel.plugin.UnknownImplementation
 import io.daisybend.kernel.settings.Settings
+import io.daisybend.membership.StopSettings
 import io.daisybend.transport.PeerNetwork
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -139,7 +143,7 @@
     secrets: DaemonSecrets,
     private val registry: PortRegistry,
     private val ports: DaemonPorts,
-    clock: MillisClock = SystemMillisClock,
+    private val clock: MillisClock = SystemMillisClock,
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val vmId = VmId(settings[DaemonKeys.vmId])
@@ -148,18 +152,25 @@
     private val metrics = PrometheusRegistry()
     private val stopping = Mutex()
 
-    private val addresses =
-        ListedAddresses(ports.directory, settings[DaemonKeys.addressLifetime], ownEntry = ::ownEntry)
+    private val addresses = FollowedVms(
+        directory = ports.directory,
+        lifetimeMs = settings[DaemonKeys.addressLifetime],
+        clock = clock,
+        ownEntry = ::ownEntry,
+        seatHolders = { rates.holdersOf(it) },
+    )
     private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
+    private val ratePorts = RatePorts(vmId, ports.log, peers, configuration, ::liveVms, clock)
+    private val rates: FleetRateLimiter = FleetRateLimiter(ratePorts, scope)
     private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
     private val service = RequestService(
         steps = RequestSteps(
             authenticator = configuration,
             configuration = configuration,
-            rates = LocalRateLimiter,
+            rates = rates,
             models = DirectModelDispatcher(modelAccess, ports.engines),
             services = DirectServiceDispatcher(configuration, ports.services),
             addresses = addresses,
@@ -181,7 +192,7 @@
             lifecycle = lifecycle,
             metrics = metrics,
             routes = listOf(ConfigurationRoutes(configuration, submission), AddressRoute(addresses), stopRoute()),
-            statusSources = listOf(StatusSource { vmStatus() }),
+            statusSources = listOf(StatusSource { vmStatus() }, StatusSource { rates.status() }),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
     )
@@ -191,6 +202,8 @@
         JvmMetrics.builder().register(metrics)
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { addresses.follow() }
+        rates.registerMetrics(metrics)
+        rates.start()
         configuration.start()
         scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
         operators.start()
@@ -205,9 +218,8 @@
         if (lifecycle.phase == LifecyclePhase.STOPPED) return
         lifecycle.advanceTo(LifecyclePhase.LEAVING)
         timeline.record("daemon-leaving")
-        ports.directory.register(ownEntry())
-        delay(settings[DaemonKeys.addressLifetime])
-        val idle = lifecycle.awaitIdle(settings[DaemonKeys.stopTimeout])
+        stopRunner().run()
+        val idle = lifecycle.requestsInProgress == 0
         lifecycle.advanceTo(LifecyclePhase.STOPPED)
         ports.directory.remove(vmId)
         timeline.record("daemon-stopped", detail = if (idle) "idle" else "${lifecycle.requestsInProgress} requests cut")
@@ -218,6 +230,23 @@
         scope.cancel()
     }
 
+    private fun stopRunner() = StopRunner(
+        settings = StopSettings(
+            answerLifetimeMs = settings[DaemonKeys.addressLifetime],
+            listLagMs = settings[DaemonKeys.listLag],
+            longestFinishMs = settings[DaemonKeys.stopTimeout],
+        ),
+        steps = StopSteps(
+            registerAsLeaving = { addresses.register() },
+            release = { rates.release(RELEASE_TIMEOUT_MS) },
+        ),
+        lifecycle = lifecycle,
+        clock = clock,
+        timeline = timeline,
+    )
+
+    private fun liveVms(): List<VmId> = addresses.live().map { it.vmId }
+
     private fun stopRoute() = OperatorRoutes { route ->
         route.post("/drain") {
             scope.launch(Dispatchers.IO) { stop() }
@@ -261,6 +290,7 @@
 
     private companion object {
         const val STOP_MS = 500L
+        const val RELEASE_TIMEOUT_MS = 5_000L
         const val STOP_POLL_MS = 50L
         val log = LoggerFactory.getLogger(Daemon::class.java)
     }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/DaemonSettings.kt
@@ -127,6 +127,15 @@
         "2s",
     )
 
+    /** How late the platform's list may be. */
+    public val listLag: SettingKey<Long> = SettingKey(
+        "platform",
+        "list_lag",
+        SettingType.DurationMs(0, 10 * 60 * ONE_SECOND_MS),
+        "Longest time until all VMs have seen that a VM is leaving.",
+        default = "3s",
+    )
+
     /** The engines' protocol. */
     public val engineProtocol: SettingKey<String> =
         SettingKey("endpoints", "engine_protocol", SettingType.Text, "Plug-in that talks to engines.", "http")
@@ -157,7 +166,7 @@
     public val all: List<SettingKey<*>> = listOf(
         vmId, failureDomain, region, callerListen, callerProtocol, maxBody, maxRequests, defaultTimeout, maxTimeout,
         addressLifetime, peerListen, peerSecretFile, operatorListen, operatorTokenFile, platformProtocol,
-        platformAddress, platformTimeout, engineProtocol, serviceProtocol, controlTimeout, stopTimeout,
+        platformAddress, platformTimeout, listLag, engineProtocol, serviceProtocol, controlTimeout, stopTimeout,
     )
 }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/membership/FollowedVms.kt
@@ -0,0 +1,63 @@
+/*
+ * Follows the platform's list of VMs, registers this one, and answers which VMs callers should use.
+ */
+package io.daisybend.daemon.membership
+
+import com.github.michaelbull.result.onSuccess
+import io.daisybend.daemon.request.AddressAnswer
+import io.daisybend.daemon.request.AddressBook
+import io.daisybend.kernel.MillisClock
+import io.daisybend.kernel.ModelId
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.VmDirectory
+import io.daisybend.kernel.VmEntry
+import io.daisybend.kernel.VmId
+import io.daisybend.kernel.settings.SocketEndpoint
+import io.daisybend.membership.VmEvent
+import io.daisybend.membership.VmView
+import io.daisybend.membership.chooseVms
+import io.daisybend.transport.PeerAddresses
+import kotlinx.coroutines.delay
+
+internal class FollowedVms(
+    private val directory: VmDirectory,
+    private val lifetimeMs: Long,
+    private val clock: MillisClock,
+    private val ownEntry: () -> VmEntry,
+    private val seatHolders: (TeamId) -> List<VmId>,
+) : AddressBook,
+    PeerAddresses {
+    private val view = VmView(ownEntry().vmId)
+
+    /** The known VMs, empty before the first list was read. */
+    val entries: List<VmEntry> get() = view.known()
+
+    /** The VMs that are not about to stop. */
+    fun live(): List<VmEntry> = view.live(clock.nowMs())
+
+    override fun addressesFor(teamId: TeamId?, modelId: ModelId?): AddressAnswer {
+        val holders = teamId?.let(seatHolders).orEmpty()
+        val chosen = chooseVms(view, teamId, modelId, holders, clock.nowMs())
+        return AddressAnswer(chosen.map { it.callerAddress }, lifetimeMs, chosen.map { it.vmId })
+    }
+
+    override fun addressOf(vmId: VmId): SocketEndpoint? = view.entry(vmId)?.peerAddress?.let { address ->
+        SocketEndpoint(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+    }
+
+    /** Registers this VM and reads the list, again and again. */
+    suspend fun follow() {
+        while (true) {
+            register()
+            directory.list().onSuccess { view.handle(VmEvent.ListRead(it), clock.nowMs()) }
+            delay(POLL_INTERVAL_MS)
+        }
+    }
+
+    /** Registers this VM with its current state and returns whether the platform took it. */
+    suspend fun register(): Boolean = directory.register(ownEntry()).isOk
+
+    private companion object {
+        const val POLL_INTERVAL_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/rates/FleetRateLimiter.kt
@@ -0,0 +1,264 @@
+/*
+ * Joins the rate decisions with the platform's log, the peers and the requests of this VM. Appends and messages are
+ * sent without waiting: the decisions expect any of them to get lost, late or doubled.
+ */
+package io.daisybend.daemon.rates
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.daisybend.daemon.admin.StatusLine
+import io.daisybend.daemon.request.ConfigurationIndex
+import io.daisybend.daemon.request.ConfigurationView
+import io.daisybend.daemon.request.RateReservation
+import io.daisybend.daemon.request.RequestFailure
+import io.daisybend.kernel.LogFailure
+import io.daisybend.kernel.MillisClock
+import io.daisybend.kernel.PlatformLog
+import io.daisybend.kernel.RequestId
+import io.daisybend.kernel.TeamId
+import io.daisybend.kernel.VmId
+import io.daisybend.rates.HolderId
+import io.daisybend.rates.OffsetRecord
+import io.daisybend.rates.RateAction
+import io.daisybend.rates.RateEvent
+import io.daisybend.rates.RateLimiter
+import io.daisybend.rates.RateMessage
+import io.daisybend.rates.RateRefusal
+import io.daisybend.rates.TeamLimits
+import io.daisybend.rates.decodeRateMessage
+import io.daisybend.rates.decodeSeatRecord
+import io.daisybend.rates.encode
+import io.daisybend.rates.seatStream
+import io.daisybend.transport.PeerNetwork
+import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import io.daisybend.daemon.request.RateLimiter as RequestRateLimiter
+
+/** What the rate limiter of a VM works with; [liveVms] lists the VMs that may hold seats. */
+internal class RatePorts(
+    val vmId: VmId,
+    val log: PlatformLog,
+    val peers: PeerNetwork,
+    val configuration: ConfigurationView,
+    val liveVms: () -> List<VmId>,
+    val clock: MillisClock,
+)
+
+internal class FleetRateLimiter(
+    private val ports: RatePorts,
+    private val scope: CoroutineScope,
+) : RequestRateLimiter {
+    private val self = HolderId(ports.vmId, incarnation = ports.clock.nowMs())
+    private val stream = seatStream(CELL_NAME)
+    private val limiter = RateLimiter(self, stream)
+    private val waiting = ConcurrentHashMap<RequestId, CompletableDeferred<RateAction>>()
+    private val nextReservation = AtomicLong()
+    private var knownConfiguration: ConfigurationIndex? = null
+    private var knownVms: List<VmId> = emptyList()
+
+    override suspend fun reserve(teamId: TeamId, tokens: Long): Result<RateReservation, RequestFailure> {
+        applyConfiguration()
+        awaitHolders(teamId)
+        val reservationId = RequestId("${self.vmId}-${self.incarnation}-${nextReservation.incrementAndGet()}")
+        return when (val decision = decide(RateEvent.Reserve(reservationId, teamId, tokens))) {
+            is RateAction.Admitted -> admitted(decision, teamId)
+            is RateAction.Refused -> Err(decision.toRequestFailure())
+            else -> error("expected a decision about $reservationId, got $decision")
+        }
+    }
+
+    /** Returns the VMs that hold seats of [teamId]. */
+    fun holdersOf(teamId: TeamId): List<VmId> = limiter.holdersOf(teamId)
+
+    fun start() {
+        ports.peers.handle(CHANNEL) { from, payload -> receive(from, payload) }
+        scope.launch { repeatEvery(TICK_INTERVAL_MS) { tick() } }
+        scope.launch { repeatEvery(POLL_INTERVAL_MS) { followLog() } }
+    }
+
+    /** Releases all seats; returns whether that was done within [timeoutMs]. */
+    suspend fun release(timeoutMs: Long): Boolean {
+        handle(RateEvent.Drain)
+        return withTimeoutOrNull(timeoutMs) {
+            while (!limiter.isDrained) delay(TICK_INTERVAL_MS)
+            true
+        } ?: false
+    }
+
+    fun status(): List<StatusLine> {
+        val teams = ports.configuration.current()?.manifest?.teams.orEmpty()
+        return teams.map { StatusLine("rate", it.teamId.value, "seats held by ${holdersOf(it.teamId).joinToString()}") }
+    }
+
+    fun registerMetrics(registry: PrometheusRegistry) {
+        counter(registry, "daisybend_rate_admitted", "Requests admitted by rate.") { limiter.counters().admitted }
+        counter(registry, "daisybend_rate_refused", "Requests refused by rate.") { limiter.counters().refused }
+        counter(registry, "daisybend_rate_asks", "Asks sent to holders of seats.") { limiter.counters().asksSent }
+        counter(registry, "daisybend_rate_asks_timed_out", "Asks without an answer in time.") {
+            limiter.counters().asksTimedOut
+        }
+        counter(registry, "daisybend_rate_grants", "Grants given to other VMs.") { limiter.counters().grantsGiven }
+        GaugeWithCallback.builder()
+            .name("daisybend_rate_entries")
+            .help("Reservations and grants in memory.")
+            .callback { it.call(limiter.entryCount().toDouble()) }
+            .register(registry)
+    }
+
+    private fun counter(registry: PrometheusRegistry, name: String, help: String, value: () -> Long) {
+        CounterWithCallback.builder().name(name).help(help).callback { it.call(value().toDouble()) }.register(registry)
+    }
+
+    /** A team that was just configured, or a site that just started, has no holders for a moment. */
+    private suspend fun awaitHolders(teamId: TeamId) {
+        if (ports.configuration.current()?.team(teamId) == null) return
+        withTimeoutOrNull(HOLDER_TIMEOUT_MS) {
+            while (limiter.holdersOf(teamId).isEmpty()) delay(TICK_INTERVAL_MS)
+        }
+    }
+
+    private suspend fun decide(event: RateEvent.Reserve): RateAction {
+        val decision = CompletableDeferred<RateAction>()
+        waiting[event.requestId] = decision
+        return try {
+            handle(event)
+            decision.await()
+        } catch (cancelled: CancellationException) {
+            handle(RateEvent.Settle(event.requestId, event.teamId, usedTokens = 0))
+            throw cancelled
+        } finally {
+            waiting.remove(event.requestId)
+        }
+    }
+
+    private fun admitted(decision: RateAction.Admitted, teamId: TeamId): Result<RateReservation, RequestFailure> {
+        val reservation = Reservation(decision.requestId, teamId)
+        if (ports.clock.nowMs() <= decision.dispatchByMs) return Ok(reservation)
+        handle(RateEvent.Settle(decision.requestId, teamId, usedTokens = 0))
+        return Err(RequestFailure.NotReady("expected a reservation that is still valid, this VM was paused", RETRY_MS))
+    }
+
+    private inner class Reservation(private val requestId: RequestId, private val teamId: TeamId) : RateReservation {
+        override suspend fun settle(usedTokens: Long) = handle(RateEvent.Settle(requestId, teamId, usedTokens))
+    }
+
+    private suspend fun repeatEvery(intervalMs: Long, step: suspend () -> Unit) {
+        while (true) {
+            step()
+            delay(intervalMs)
+        }
+    }
+
+    private fun tick() {
+        applyConfiguration()
+        val vms = ports.liveVms()
+        if (vms != knownVms) {
+            knownVms = vms
+            handle(RateEvent.LiveVmsChanged(vms))
+        }
+        handle(RateEvent.Tick)
+    }
+
+    @Synchronized
+    private fun applyConfiguration() {
+        val current = ports.configuration.current() ?: return
+        if (current === knownConfiguration) return
+        knownConfiguration = current
+        val limits = current.manifest.teams.associate {
+            it.teamId to TeamLimits(it.rateTokensPerSecond, it.burstTokens)
+        }
+        handle(RateEvent.LimitsChanged(limits))
+    }
+
+    private suspend fun followLog() {
+        var next = limiter.readFromOffset
+        while (true) {
+            val read = ports.log.read(stream, next, MAX_RECORDS)
+            val expired = read.getError() as? LogFailure.Expired
+            val batch = if (expired !=
+                null
+            ) {
+                ports.log.read(stream, expired.firstOffset, MAX_RECORDS).get()
+            } else {
+                read.get()
+            }
+            if (batch == null) return
+            val records = batch.records.map { OffsetRecord(it.offset, decodeSeatRecord(it.payload).get()) }
+            handle(RateEvent.LogRead(records, batch.firstOffset, batch.nextOffset))
+            next = limiter.readFromOffset
+            if (next >= batch.nextOffset || records.isEmpty()) return
+        }
+    }
+
+    private fun receive(from: VmId, payload: ByteArray): ByteArray? {
+        val message = decodeRateMessage(payload).onFailure { log.warn("from {}: {}", from, it.message) }.get()
+        if (message == null || !isFrom(from, message)) return null
+        handle(RateEvent.MessageReceived(message))
+        return ACCEPTED
+    }
+
+    /** Whether [message] speaks for nobody but its sender. */
+    private fun isFrom(from: VmId, message: RateMessage): Boolean = when (message) {
+        is RateMessage.Ask -> message.asker.vmId == from
+        is RateMessage.Settlements -> message.asker.vmId == from
+        is RateMessage.SupportAsk -> message.holder.vmId == from
+        is RateMessage.Support -> message.witness.vmId == from
+        is RateMessage.Grant -> true
+    }
+
+    private fun handle(event: RateEvent) = limiter.handle(event, ports.clock.nowMs()).forEach { perform(it) }
+
+    private fun perform(action: RateAction) {
+        when (action) {
+            is RateAction.Admitted -> waiting[action.requestId]?.complete(action)
+            is RateAction.Refused -> waiting[action.requestId]?.complete(action)
+            is RateAction.Send -> send(action)
+            is RateAction.Append -> scope.launch {
+                ports.log.append(action.stream, action.record.encode()).onSuccess { followLog() }
+            }
+        }
+    }
+
+    private fun send(action: RateAction.Send) {
+        scope.launch {
+            ports.peers.call(action.toVmId, CHANNEL, action.message.encode(), CALL_TIMEOUT_MS)
+                .onFailure { log.debug("no answer from {}: {}", action.toVmId, it.message) }
+        }
+    }
+
+    private companion object {
+        const val CHANNEL = "rates"
+        const val CELL_NAME = "main"
+        const val TICK_INTERVAL_MS = 25L
+        const val POLL_INTERVAL_MS = 500L
+        const val HOLDER_TIMEOUT_MS = 5_000L
+        const val CALL_TIMEOUT_MS = 1_000L
+        const val RETRY_MS = 100L
+        const val MAX_RECORDS = 500
+        val ACCEPTED = ByteArray(0)
+        val log = LoggerFactory.getLogger(FleetRateLimiter::class.java)
+    }
+}
+
+private const val DEFAULT_RETRY_MS = 1_000L
+
+private fun RateAction.Refused.toRequestFailure(): RequestFailure = when (val reason = refusal) {
+    is RateRefusal.RateExceeded -> RequestFailure.RateExceeded(reason.message, retryAfterMs ?: DEFAULT_RETRY_MS)
+    is RateRefusal.ExceedsBurst -> RequestFailure.Invalid(reason.message)
+    is RateRefusal.UnknownTeam -> RequestFailure.Forbidden(reason.message)
+}
--- a/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
@@ -96,6 +96,7 @@
             token_file = unused
             [platform]
             address = ${platform.address}
+            list_lag = 600ms
         """.trimIndent()
         val settings = parseSettings("$vmId.ini", ini.toByteArray(), DaemonKeys.all).getOrElse { error(it.message) }
         val registry = PortRegistry.load()
