--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -22,6 +22,13 @@
 import io.daisybend.daemon.configuration.ConfigurationRoutes
 import io.daisybend.daemon.configuration.FollowedConfiguration
 import io.daisybend.daemon.configuration.SnapshotTask
+import io.daisybend.daemon.configuration.registerConfigurationMetrics
+import io.daisybend.daemon.dispatch.AtMostOnceServiceDispatcher
+import io.daisybend.daemon.dispatch.DISPATCH_CHANNEL
+import io.daisybend.daemon.dispatch.IdempotentCalls
+import io.daisybend.daemon.dispatch.ResumingModelDispatcher
+import io.daisybend.daemon.dispatch.dispatchOnce
+import io.daisybend.daemon.dispatch.dispatchPeers
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -36,9 +43,8 @@
 import io.daisybend.daemon.rates.RatePorts
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
-import io.daisybend.daemon.thin.DirectModelDispatcher
-import io.daisybend.daemon.thin.DirectServiceDispatcher
 import io.daisybend.daemon.thin.LocalModelAccess
+import io.daisybend.dispatch.GatewayIncarnation
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.MillisClock
@@ -72,6 +78,7 @@
 import org.slf4j.LoggerFactory
 import java.nio.file.Files
 import java.nio.file.Path
+import java.security.SecureRandom
 
 /** A file that the settings name cannot be read. */
 public data class UnreadableSecret(val file: String) : Failure {
@@ -163,16 +170,25 @@
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
-    private val ratePorts = RatePorts(vmId, ports.log, peers, configuration, ::liveVms, clock)
+    private val ratePorts = RatePorts(vmId, ports.log, peers, configuration, addresses::liveVms, clock)
     private val rates: FleetRateLimiter = FleetRateLimiter(ratePorts, scope)
     private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val idempotentCalls = IdempotentCalls(
+        incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
+        log = ports.log,
+        peers = dispatchPeers(peers),
+        liveVms = addresses::liveVms,
+        scope = scope,
+        clock = clock,
+        dispatch = { call -> dispatchOnce(configuration, ports.services, call) },
+    )
     private val service = RequestService(
         steps = RequestSteps(
             authenticator = configuration,
             configuration = configuration,
             rates = rates,
-            models = DirectModelDispatcher(modelAccess, ports.engines),
-            services = DirectServiceDispatcher(configuration, ports.services),
+            models = ResumingModelDispatcher(modelAccess, ports.engines, clock, timeline, scope),
+            services = AtMostOnceServiceDispatcher(configuration, ports.services, idempotentCalls),
             addresses = addresses,
         ),
         lifecycle = lifecycle,
@@ -200,7 +216,13 @@
     /** Starts serving; fails when no plug-in offers the caller protocol, throws when an address cannot be bound. */
     public suspend fun start(): Result<Unit, UnknownImplementation> = callers.map { callerInterface ->
         JvmMetrics.builder().register(metrics)
+        peers.handle(DISPATCH_CHANNEL) { _, payload ->
+            idempotentCalls.receive(payload)
+            ByteArray(0)
+        }
+        registerConfigurationMetrics(metrics, configuration)
         peers.listen(settings[DaemonKeys.peerListen])
+        scope.launch { idempotentCalls.keepTime() }
         scope.launch { addresses.follow() }
         rates.registerMetrics(metrics)
         rates.start()
@@ -238,15 +260,16 @@
         ),
         steps = StopSteps(
             registerAsLeaving = { addresses.register() },
-            release = { rates.release(RELEASE_TIMEOUT_MS) },
+            release = {
+                idempotentCalls.awaitRecorded(RECORDING_MS)
+                rates.release(RELEASE_TIMEOUT_MS)
+            },
         ),
         lifecycle = lifecycle,
         clock = clock,
         timeline = timeline,
     )
 
-    private fun liveVms(): List<VmId> = addresses.live().map { it.vmId }
-
     private fun stopRoute() = OperatorRoutes { route ->
         route.post("/drain") {
             scope.launch(Dispatchers.IO) { stop() }
@@ -291,6 +314,7 @@
     private companion object {
         const val STOP_MS = 500L
         const val RELEASE_TIMEOUT_MS = 5_000L
+        const val RECORDING_MS = 5_000L
         const val STOP_POLL_MS = 50L
         val log = LoggerFactory.getLogger(Daemon::class.java)
     }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/membership/FollowedVms.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/membership/FollowedVms.kt
@@ -33,7 +33,7 @@
     val entries: List<VmEntry> get() = view.known()
 
     /** The VMs that are not about to stop. */
-    fun live(): List<VmEntry> = view.live(clock.nowMs())
+    fun liveVms(): List<VmId> = view.live(clock.nowMs()).map { it.vmId }
 
     override fun addressesFor(teamId: TeamId?, modelId: ModelId?): AddressAnswer {
         val holders = teamId?.let(seatHolders).orEmpty()
