Keep a replica for a moment after it was loaded, and heed the endpoint to avoid

What other VMs use later is still not known here. A request that names an endpoint to avoid gets another holder if there is one.

--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/ModelPlacement.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/ModelPlacement.kt
@@ -27,9 +27,9 @@
     private val scope: CoroutineScope,
 ) {
     private val self = OwnerId(vmId, incarnation = UUID.randomUUID().toString())
-    private val runtime =
-        PlacementRuntime(self, ports.log, ports.engines, configuration, liveVms, clock, timeline, scope)
     private val usage = ReplicaUsage(clock)
+    private val runtime =
+        PlacementRuntime(self, ports.log, ports.engines, configuration, liveVms, usage, clock, timeline, scope)
     private val requests = ReplicaRequests(vmId, runtime, peers, usage, clock)
 
     val access: ModelAccess = PlacedModelAccess(configuration, runtime, requests, usage, clock)
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacedModelAccess.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacedModelAccess.kt
@@ -14,6 +14,7 @@
 import io.daisybend.daemon.request.ModelAccess
 import io.daisybend.daemon.request.ModelRequest
 import io.daisybend.daemon.request.RequestFailure
+import io.daisybend.kernel.EndpointId
 import io.daisybend.kernel.MillisClock
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.placement.Artifact
@@ -36,7 +37,9 @@
             val wanted = index.wantedBy(request)
                 ?: return Err(RequestFailure.NotFound("expected a configured model, got `${request.modelId}`"))
             val seenOffset = runtime.nextOffset.value
-            index.endpointHolding(wanted)?.let { return Ok(Grant(it, wanted.map { w -> w.artifact })) }
+            index.endpointHolding(wanted, request.avoidEndpointId)?.let {
+                return Ok(Grant(it, wanted.map { w -> w.artifact }))
+            }
             firstMissing(wanted)?.let { requests.want(index, it.artifact, it.weightsBytes) }
             awaitChange(seenOffset, request.deadlineMs)
         }
@@ -54,12 +57,12 @@
         return listOf(wantedModel, Wanted(artifact, adapter.weightsBytes))
     }
 
-    private fun ConfigurationIndex.endpointHolding(wanted: List<Wanted>): EndpointSpec? {
-        val holders = wanted.map { runtime.ledger.loadedAt(it.artifact).toSet() }.reduce { all, next ->
-            all intersect
-                next
-        }
-        return rankByRendezvous(wanted.last().artifact.itemId, holders).firstNotNullOfOrNull { endpoint(it) }
+    private fun ConfigurationIndex.endpointHolding(wanted: List<Wanted>, avoided: EndpointId?): EndpointSpec? {
+        val holders = wanted
+            .map { runtime.ledger.loadedAt(it.artifact).toSet() }
+            .reduce { all, next -> all intersect next }
+        val preferred = holders.filter { it != avoided }.ifEmpty { holders }
+        return rankByRendezvous(wanted.last().artifact.itemId, preferred).firstNotNullOfOrNull { endpoint(it) }
     }
 
     private fun firstMissing(wanted: List<Wanted>): Wanted? =
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
@@ -54,6 +54,7 @@
     engineClient: EngineClient,
     private val configuration: ConfigurationView,
     private val liveVms: LiveVms,
+    private val usage: ReplicaUsage,
     private val clock: MillisClock,
     private val timeline: Timeline,
     private val scope: CoroutineScope,
@@ -184,8 +185,9 @@
         owners.handle(endpoint.endpointId, OwnerEvent.OrderAnswered(order.orderId, answer))
     }
 
-    /** Notes records of this VM in the time line. */
+    /** Notes loads of all VMs in the usage, and records of this VM in the time line. */
     private fun note(applied: AppliedRecord) {
+        if (applied.refusal == null) (applied.record as? PlacementRecord.Observed)?.loaded?.forEach { usage.loaded(it) }
         if (applied.owner != self) return
         val refused = applied.refusal?.let { " refused: ${it.message}" }.orEmpty()
         val endpointId = applied.record.endpointId
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/ReplicaUsage.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/ReplicaUsage.kt
@@ -1,5 +1,6 @@
 /*
- * When this VM last used each replica. What is in use here, or was a moment ago, is not evicted on this VM's request.
+ * When this VM last used each replica, and when it was loaded anywhere. What is in use here, or was used here or loaded
+ * a moment ago, is not evicted on this VM's request.
  */
 package io.daisybend.daemon.placement
 
@@ -12,6 +13,9 @@
 
     private val uses = ConcurrentHashMap<Artifact, Use>()
 
+    /** Notes that [artifact] was seen loaded somewhere. */
+    fun loaded(artifact: Artifact) = change(artifact, by = 0)
+
     fun begin(artifact: Artifact) = change(artifact, by = 1)
 
     fun end(artifact: Artifact) = change(artifact, by = -1)
