--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementEngines.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementEngines.kt
@@ -4,8 +4,7 @@
 package io.daisybend.daemon.placement
 
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.andThen
-import com.github.michaelbull.result.map
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.mapBoth
 import io.daisybend.configuration.EndpointSpec
 import io.daisybend.daemon.endpoint.EngineClient
@@ -42,6 +41,7 @@
     private val configuration: ConfigurationView,
     private val ledger: PlacementLedger,
 ) {
+    /** Raises the engine's fencing number when [raiseFence] is set, then asks for its state. */
     suspend fun state(endpoint: EndpointSpec, raiseFence: Long?): StateAnswer =
         if (raiseFence == null) {
             client.state(endpoint).mapBoth({ reported(endpoint, it) }, { StateAnswer.NoAnswer })
@@ -54,15 +54,11 @@
         withTimeoutOrNull(ORDER_TIMEOUT_MS) { client.order(endpoint, order.toWire()).toOrderAnswer() }
             ?: OrderAnswer.NoAnswer
 
-    private suspend fun raiseAndRead(endpoint: EndpointSpec, fence: Long): StateAnswer =
-        client.raiseFence(endpoint, fence)
-            .andThen { raised -> client.state(endpoint).mapRefusal(raised) }
-            .mapBoth({ it?.let { state -> reported(endpoint, state) } ?: refused(fence) }, { StateAnswer.NoAnswer })
-
-    private fun Result<WireState, EngineFailure>.mapRefusal(raised: EngineOrderAnswer) =
-        map { it.takeIf { raised.done } }
-
-    private fun refused(fence: Long) = StateAnswer.FenceRefused(fence)
+    private suspend fun raiseAndRead(endpoint: EndpointSpec, fence: Long): StateAnswer {
+        val raised = client.raiseFence(endpoint, fence).get() ?: return StateAnswer.NoAnswer
+        if (!raised.done) return StateAnswer.FenceRefused(raised.fence)
+        return state(endpoint, raiseFence = null)
+    }
 
     private fun reported(endpoint: EndpointSpec, state: WireState): StateAnswer {
         val loaded = state.loaded.map { it.toArtifact() }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
@@ -6,7 +6,6 @@
 
 import com.github.michaelbull.result.mapBoth
 import io.daisybend.configuration.EndpointKind
-import io.daisybend.configuration.EndpointSpec
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.request.ConfigurationView
 import io.daisybend.kernel.EndpointId
@@ -23,6 +22,7 @@
 import io.daisybend.placement.EngineOrder
 import io.daisybend.placement.FollowerRead
 import io.daisybend.placement.LedgerFollower
+import io.daisybend.placement.OrderAnswer
 import io.daisybend.placement.OwnerAction
 import io.daisybend.placement.OwnerEvent
 import io.daisybend.placement.OwnerId
@@ -32,6 +32,7 @@
 import io.daisybend.placement.PlacementLedger
 import io.daisybend.placement.PlacementRecord
 import io.daisybend.placement.RecordId
+import io.daisybend.placement.StateAnswer
 import io.daisybend.placement.snapshot
 import io.daisybend.placement.toPayload
 import io.daisybend.placement.toPayloads
@@ -155,18 +156,21 @@
     }
 
     private fun perform(endpointId: EndpointId, action: OwnerAction) {
-        val endpoint = configuration.current()?.endpoint(endpointId) ?: return
         when (action) {
             is OwnerAction.Append -> scope.launch { append(endpointId, action.record) }
-            is OwnerAction.ReadState -> scope.launch {
-                val answer = engines.state(endpoint, action.raiseFence)
-                owners.handle(endpointId, OwnerEvent.StateAnswered(action.callNumber, answer))
-            }
-            is OwnerAction.SendOrder -> scope.launch { send(endpoint, action.order) }
+            is OwnerAction.ReadState -> scope.launch { readState(endpointId, action) }
+            is OwnerAction.SendOrder -> scope.launch { send(endpointId, action.order) }
             is OwnerAction.RefuseRequest -> Unit
         }
     }
 
+    /** Asks the engine; an endpoint that has left the configuration does not answer. */
+    private suspend fun readState(endpointId: EndpointId, action: OwnerAction.ReadState) {
+        val endpoint = configuration.current()?.endpoint(endpointId)
+        val answer = endpoint?.let { engines.state(it, action.raiseFence) } ?: StateAnswer.NoAnswer
+        owners.handle(endpointId, OwnerEvent.StateAnswered(action.callNumber, answer))
+    }
+
     private suspend fun append(endpointId: EndpointId, record: PlacementRecord) {
         val answer = log.append(PLACEMENT_STREAM, record.toPayload()).mapBoth(
             success = { AppendAnswer.LANDED },
@@ -176,13 +180,13 @@
         readNow.trySend(Unit)
     }
 
-    private suspend fun send(endpoint: EndpointSpec, order: EngineOrder) {
+    private suspend fun send(endpointId: EndpointId, order: EngineOrder) {
         val kind = order.kind.name.lowercase()
-        val detail = "${order.artifact.itemId} fencing number ${order.fencingNumber}"
-        timeline.record("$kind-ordered", null, null, order.artifact.modelId, endpoint.endpointId, detail)
-        val answer = engines.order(endpoint, order)
-        timeline.record("$kind-answered", null, null, order.artifact.modelId, endpoint.endpointId, "$answer")
-        owners.handle(endpoint.endpointId, OwnerEvent.OrderAnswered(order.orderId, answer))
+        noteArtifact("$kind-ordered", endpointId, order.artifact, "fencing number ${order.fencingNumber}")
+        val endpoint = configuration.current()?.endpoint(endpointId)
+        val answer = endpoint?.let { engines.order(it, order) } ?: OrderAnswer.NotSent
+        noteArtifact("$kind-answered", endpointId, order.artifact, "$answer")
+        owners.handle(endpointId, OwnerEvent.OrderAnswered(order.orderId, answer))
     }
 
     /** Notes loads of all VMs in the usage, and records of this VM in the time line. */
