Keep coordinators of own partitions running and show calls in the time line

Cause: a partition that nobody called wrote no checkpoint, so after the log's retention a new coordinator had to refuse calls for 11 minutes; and the time line showed nothing of non-repeatable calls.

Ruled out: checkpoints by every VM, which would cost an append for each VM and partition.

Change: the VM that comes first for a partition runs its coordinator at all times; others end 60 s after they were last asked. Dispatches, replays and refusals appear in the time line.

--- a/bench/src/main/kotlin/io/daisybend/bench/slopes/DispatchSlopes.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/slopes/DispatchSlopes.kt
@@ -20,9 +20,13 @@
 import io.daisybend.dispatch.RequestFingerprint
 import io.daisybend.dispatch.StoredAnswer
 import io.daisybend.dispatch.StoredOutcome
+import io.daisybend.dispatch.StreamEvent
+import io.daisybend.dispatch.StreamToken
+import io.daisybend.dispatch.TokenStream
 import io.daisybend.dispatch.encodeIntentBatch
 import io.daisybend.dispatch.requestKeyOf
 import io.daisybend.kernel.LogBatch
+import io.daisybend.kernel.RequestId
 import io.daisybend.kernel.TeamId
 import io.daisybend.kernel.VmId
 import org.HdrHistogram.Histogram
@@ -50,6 +54,8 @@
     }
     println("keys | index_bytes bytes/key replay_ns/record")
     listOf(2_000, 20_000, 200_000).forEach { println(indexSlope(it)) }
+    println("streams tokens | ns/token")
+    listOf(10, 100, 1_000).forEach { println(streamSlope(it)) }
 }
 
 /** Drives one partition and scales its figures to all of them. */
@@ -164,6 +170,21 @@
     return "%7d | %11d %9d %16d".format(keys, bytes, bytes / keys, nanos / (2L * keys))
 }
 
+private fun streamSlope(streams: Int): String {
+    val tokensPerStream = 2_000
+    val running = List(streams) { TokenStream(RequestId("request-$it"), Long.MAX_VALUE, { true }) }
+    running.forEach { it.handle(StreamEvent.Started, 0L) }
+    val startNanos = System.nanoTime()
+    for (index in 0 until tokensPerStream) {
+        running.forEachIndexed { number, stream ->
+            val token = StreamToken(RequestId("request-$number"), attempt = 0, index = index, text = "token")
+            stream.handle(StreamEvent.TokenReceived(token), index.toLong())
+        }
+    }
+    val tokens = streams * tokensPerStream
+    return "%7d %7d | %8d".format(streams, tokens, (System.nanoTime() - startNanos) / tokens)
+}
+
 private fun usedBytes(): Long {
     repeat(3) { System.gc() }
     val runtime = Runtime.getRuntime()
--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -168,6 +168,7 @@
         liveVms = addresses::liveVms,
         scope = scope,
         clock = clock,
+        timeline = timeline,
         dispatch = { call -> dispatchOnce(configuration, ports.services, call) },
     )
     private val service = RequestService(
--- a/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/IdempotentCalls.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/IdempotentCalls.kt
@@ -13,6 +13,7 @@
 import io.daisybend.dispatch.ExecutorAction
 import io.daisybend.dispatch.ExecutorEvent
 import io.daisybend.dispatch.GatewayIncarnation
+import io.daisybend.dispatch.INTENT_PARTITIONS
 import io.daisybend.dispatch.IdempotentExecutor
 import io.daisybend.dispatch.NonRepeatableCall
 import io.daisybend.dispatch.RequestFingerprint
@@ -22,9 +23,11 @@
 import io.daisybend.kernel.MillisClock
 import io.daisybend.kernel.PlatformLog
 import io.daisybend.kernel.RequestId
+import io.daisybend.kernel.Timeline
 import io.daisybend.kernel.VmId
 import io.daisybend.kernel.decodeCbor
 import io.daisybend.kernel.encodeCbor
+import io.daisybend.kernel.firstByRendezvous
 import io.daisybend.kernel.rankByRendezvous
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
@@ -41,6 +44,7 @@
     private val liveVms: () -> List<VmId>,
     private val scope: CoroutineScope,
     private val clock: MillisClock,
+    private val timeline: Timeline,
     private val dispatch: suspend (ServiceCall) -> StoredOutcome,
 ) {
     private class Waiting(val call: ServiceCall, val answer: CompletableDeferred<CallAnswer> = CompletableDeferred())
@@ -67,13 +71,25 @@
 
     /** Lets time pass until the scope ends. */
     suspend fun keepTime() {
+        var nextKeepAtMs = clock.nowMs() + KEEP_INTERVAL_MS
         while (true) {
             delay(TICK_MS)
             feed(ExecutorEvent.Ticked)
             coordinators.tick()
+            if (clock.nowMs() >= nextKeepAtMs) {
+                nextKeepAtMs = clock.nowMs() + KEEP_INTERVAL_MS
+                coordinators.keep(partitionsOfThisVm())
+            }
         }
     }
 
+    private fun partitionsOfThisVm(): Set<Int> {
+        val vms = liveVms()
+        return (0 until INTENT_PARTITIONS)
+            .filter { firstByRendezvous(streamOf(it).name, vms) == incarnation.vmId }
+            .toSet()
+    }
+
     /** Waits until every outcome is recorded, for at most [timeoutMs]. */
     suspend fun awaitRecorded(timeoutMs: Long) {
         withTimeoutOrNull(timeoutMs) {
@@ -104,7 +120,7 @@
         when (action) {
             is ExecutorAction.AskCoordinator -> scope.launch { ask(action) }
             is ExecutorAction.Dispatch -> dispatch(action)
-            is ExecutorAction.AnswerCaller -> waiting[action.requestId]?.answer?.complete(action.answer)
+            is ExecutorAction.AnswerCaller -> answer(action)
             is ExecutorAction.QueryAttempt -> {
                 val query = DispatchMessage.Query(action.asker, action.key, action.attemptId)
                 scope.launch { send(action.attemptId.executor.vmId, query) }
@@ -116,6 +132,19 @@
         }
     }
 
+    private fun answer(action: ExecutorAction.AnswerCaller) {
+        val kind = when (val answer = action.answer) {
+            is CallAnswer.Replayed -> "call-replayed"
+            is CallAnswer.Refused -> "call-refused"
+            is CallAnswer.Ended -> "call-${answer.status.wireValue}"
+            CallAnswer.StillRunning -> "call-in-progress-elsewhere"
+            CallAnswer.OutcomeUnknown -> "call-outcome-unknown"
+        }
+        val entry = waiting[action.requestId] ?: return
+        timeline.record(kind, action.requestId, entry.call.caller?.teamId)
+        entry.answer.complete(action.answer)
+    }
+
     private suspend fun ask(action: ExecutorAction.AskCoordinator) {
         val partition = partitionOf(action.key)
         val ranked = rankByRendezvous(streamOf(partition).name, liveVms().ifEmpty { listOf(incarnation.vmId) })
@@ -129,6 +158,7 @@
         if (call == null) {
             feed(ExecutorEvent.DispatchEnded(action.attemptId, StoredOutcome(ExecutionStatus.NotRun)))
         } else {
+            timeline.record("call-dispatched", call.requestId, call.caller?.teamId)
             scope.launch { feed(ExecutorEvent.DispatchEnded(action.attemptId, dispatch(call))) }
         }
     }
@@ -145,5 +175,6 @@
 
     private companion object {
         const val TICK_MS = 25L
+        const val KEEP_INTERVAL_MS = 10_000L
     }
 }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/IntentCoordinators.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/IntentCoordinators.kt
@@ -1,6 +1,7 @@
 /*
- * Runs the coordinators of the partitions that this VM was asked for, each under its own lock, and does their appends
- * and reads.
+ * Runs the coordinators of the partitions that this VM comes first for or was asked for, each under its own lock, and
+ * does their appends and reads. A partition that this VM comes first for is kept also while nobody asks, so that
+ * checkpoints are written before records expire.
  */
 package io.daisybend.daemon.dispatch
 
@@ -32,18 +33,35 @@
     private val clock: MillisClock,
     private val reply: (AttemptId, CoordinatorAnswer) -> Unit,
 ) {
-    private val coordinators = ConcurrentHashMap<Int, IntentCoordinator>()
+    private class Running(val coordinator: IntentCoordinator) {
+        @Volatile
+        var askedAtMs = 0L
+    }
+
+    private val running = ConcurrentHashMap<Int, Running>()
 
-    /** Asks the coordinator of [partition] to write [record]; an unknown partition is ignored. */
+    /** Asks the coordinator of [partition] to write [record]; what a gateway may not ask for is ignored. */
     fun request(partition: Int, record: IntentRecord) {
-        if (partition in 0 until INTENT_PARTITIONS) feed(partition, CoordinatorEvent.Requested(record))
+        if (partition !in 0 until INTENT_PARTITIONS || record is IntentRecord.CheckpointPart) return
+        runningFor(partition).askedAtMs = clock.nowMs()
+        feed(partition, CoordinatorEvent.Requested(record))
+    }
+
+    /** Runs the coordinators of [partitions] and ends others that nobody has asked for a while. */
+    fun keep(partitions: Set<Int>) {
+        partitions.forEach { runningFor(it) }
+        val oldestAskMs = clock.nowMs() - KEPT_AFTER_ASK_MS
+        running.entries.removeIf { it.key !in partitions && it.value.askedAtMs < oldestAskMs }
     }
 
     /** Lets the coordinators do what has become due. */
-    fun tick() = coordinators.keys.forEach { feed(it, CoordinatorEvent.Ticked) }
+    fun tick() = running.keys.forEach { feed(it, CoordinatorEvent.Ticked) }
+
+    private fun runningFor(partition: Int): Running =
+        running.computeIfAbsent(partition) { Running(IntentCoordinator(incarnation)) }
 
     private fun feed(partition: Int, event: CoordinatorEvent) {
-        val coordinator = coordinators.computeIfAbsent(partition) { IntentCoordinator(incarnation) }
+        val coordinator = runningFor(partition).coordinator
         val actions = synchronized(coordinator) { coordinator.handle(event, clock.nowMs()) }
         actions.forEach { perform(partition, it) }
     }
@@ -73,6 +91,7 @@
             ?: Err(LogFailure.OutcomeUnknown("expected an answer of the log within $LOG_TIMEOUT_MS ms, got none"))
 
     private companion object {
+        const val KEPT_AFTER_ASK_MS = 60_000L
         const val LOG_TIMEOUT_MS = 5_000L
         const val READ_RECORDS = 500
     }
--- a/daemon/src/test/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcherTest.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcherTest.kt
@@ -21,6 +21,7 @@
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.RequestId
 import io.daisybend.kernel.SystemMillisClock
+import io.daisybend.kernel.Timeline
 import io.daisybend.kernel.VmId
 import io.daisybend.kernel.settings.SocketEndpoint
 import io.daisybend.transport.PeerNetwork
@@ -37,6 +38,7 @@
 import kotlinx.coroutines.launch
 import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 
 private const val CALL_TIMEOUT_MS = 4_000L
 
@@ -131,6 +133,14 @@
         }
     }
 
+    test("random bytes from a peer are ignored") {
+        Site.use { site ->
+            val random = Random(1)
+            repeat(2_000) { site.receive(vm = 0, payload = random.nextBytes(random.nextInt(200))) }
+            site.call(vm = 0, key = "i").get()?.body?.decodeToString() shouldBe "run 1"
+        }
+    }
+
     test("without a key there is one attempt") {
         Site.use(answer = { close() }) { site ->
             site.call(vm = 0, key = null).status() shouldBe ExecutionStatus.UNKNOWN
@@ -173,6 +183,7 @@
     }
     private val scopes = List(3) { CoroutineScope(SupervisorJob() + Dispatchers.Default) }
     private val networks = addresses.keys.map { PeerNetwork(it, "secret".encodeToByteArray(), addresses::get) }
+    private val gatewayCalls = mutableListOf<IdempotentCalls>()
     private val dispatchers = addresses.keys.mapIndexed { number, vmId -> gateway(number, vmId) }
     private val calls = AtomicInteger()
 
@@ -185,8 +196,10 @@
             liveVms = { addresses.keys.toList() },
             scope = scopes[number],
             clock = SystemMillisClock,
+            timeline = Timeline(vmId, SystemMillisClock),
             dispatch = { dispatchOnce(configuration, services, it) },
         )
+        gatewayCalls += idempotentCalls
         networks[number].handle(DISPATCH_CHANNEL) { _, payload ->
             idempotentCalls.receive(payload)
             ByteArray(0)
@@ -212,6 +225,8 @@
         return dispatchers[vm].run(call)
     }
 
+    fun receive(vm: Int, payload: ByteArray) = gatewayCalls[vm].receive(payload)
+
     fun kill(vm: Int) {
         scopes[vm].cancel()
         networks[vm].close()
