--- a/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
@@ -81,15 +81,23 @@
         checks.served("request with an adapter", correct, "${response.status}")
     }
 
+    /** Reserves once, then repeats the call through another daemon, which replays the stored answer. */
     private suspend fun reservation() {
-        val response = client.post("http://${site.callerAddresses[0]}/services/booking/reservations") {
+        val first = reserve(site.callerAddresses[0])
+        val answer = first.bodyAsText()
+        checks.served("reservation", first.status.value == 201, "${first.status} $answer")
+        val repeated = reserve(site.callerAddresses[1])
+        val isReplayed = repeated.headers["Idempotency-Replayed"] == "true" && repeated.bodyAsText() == answer
+        checks.served("the same reservation again", isReplayed, "${repeated.status} replayed: $isReplayed")
+    }
+
+    private suspend fun reserve(address: String): HttpResponse =
+        client.post("http://$address/services/booking/reservations") {
             bearerAuth(key.text)
             header("Idempotency-Key", "reservation-1")
             contentType(ContentType.Application.Json)
             setBody("""{"blankets":12}""")
         }
-        checks.served("reservation", response.status.value == 201, "${response.status} ${response.bodyAsText()}")
-    }
 
     private suspend fun withdrawnKeyRequest() {
         applyManifest(site.manifest(listOf(key.spec)))
