Keep the follower's lock off the path of requests; bound its alarms

Cause: every request took the follower's lock to learn whether the configuration is confirmed, and replaying or passing on a whole manifest holds that lock for about 40 ms; an alarm was logged with each read; and any foreign record with a first byte above 1 would have stopped all VMs.

Change: the time until which the last confirmation holds is published and read without the lock; an alarm is raised once; only first bytes 2 to 15 count as a newer format.

--- a/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationCodec.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationCodec.kt
@@ -31,6 +31,9 @@
 
 internal const val MAX_CHUNKS = MAX_CONTENT_BYTES / CHUNK_BYTES
 private const val CODEC_FORMAT: Byte = 1
+
+/** The highest first byte that is taken for a newer format; any other is no record of this system. */
+private const val MAX_FORMAT: Byte = 15
 private const val INFLATE_BUFFER_BYTES = 64 * 1024
 
 private val cbor = Cbor {
@@ -69,7 +72,7 @@
 private fun formFailure(bytes: ByteArray, maxBytes: Int): CodecFailure? = when {
     bytes.isEmpty() || bytes.size > maxBytes ->
         CodecFailure.Malformed("expected 1 to $maxBytes bytes, came ${bytes.size}")
-    bytes[0] > CODEC_FORMAT -> CodecFailure.NewerFormat(bytes[0].toInt())
+    bytes[0] in CODEC_FORMAT + 1..MAX_FORMAT -> CodecFailure.NewerFormat(bytes[0].toInt())
     bytes[0] != CODEC_FORMAT -> CodecFailure.Malformed("expected format $CODEC_FORMAT, came ${bytes[0]}")
     !hasPlausibleSizes(bytes) -> CodecFailure.Malformed("expected whole CBOR, came sizes beyond the end")
     else -> null
--- a/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationFollower.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationFollower.kt
@@ -29,6 +29,7 @@
     private var nextReadAtMs = Long.MIN_VALUE
     private var nextProbeAtMs = Long.MIN_VALUE
     private var lastCatchUpAtMs = Long.MIN_VALUE
+    private var lastAlarm: FollowerAlarm? = null
     private val actions = mutableListOf<FollowerAction>()
 
     override val state: ConfigurationState? get() = current
@@ -105,7 +106,7 @@
         when {
             nextOffset < batch.nextOffset -> if (batch.records.isNotEmpty()) read(nowMs)
             nextOffset > batch.nextOffset && event.askedAtMs > replayedAtMs ->
-                actions += FollowerAction.Alarm(FollowerAlarm.LogBehind(nextOffset, batch.nextOffset))
+                alarm(FollowerAlarm.LogBehind(nextOffset, batch.nextOffset))
             else -> freshness.confirm(event.askedAtMs)
         }
     }
@@ -126,7 +127,7 @@
         when {
             state != null && (current == null || state.nextOffset > nextOffset) -> adopt(state)
             firstKeptOffset > nextOffset ->
-                actions += FollowerAction.Alarm(FollowerAlarm.RecordsLost(nextOffset, firstKeptOffset))
+                alarm(FollowerAlarm.RecordsLost(nextOffset, firstKeptOffset))
         }
         needsSnapshot = false
         read(nowMs)
@@ -157,7 +158,13 @@
     private fun halt(offset: Long, failure: CodecFailure.NewerFormat) {
         halted = true
         freshness.halt()
-        actions += FollowerAction.Alarm(FollowerAlarm.NewerFormat(offset, failure.format))
+        alarm(FollowerAlarm.NewerFormat(offset, failure.format))
+    }
+
+    private fun alarm(alarm: FollowerAlarm) {
+        if (alarm == lastAlarm) return
+        lastAlarm = alarm
+        actions += FollowerAction.Alarm(alarm)
     }
 
     private fun adopt(state: ConfigurationState) {
@@ -228,14 +235,10 @@
         when {
             after >= answer.nextOffset -> answer.confirmedAgeMs?.let { freshness.confirm(askedAtMs - it) }
             after > before -> probe(from, nowMs)
-            !halted -> requestSnapshot(from, nowMs)
+            !halted -> snapshots.start(from, nowMs)?.let { actions += FollowerAction.Send(from, it) }
         }
     }
 
-    private fun requestSnapshot(from: VmId, nowMs: Long) {
-        snapshots.start(from, nowMs)?.let { actions += FollowerAction.Send(from, it) }
-    }
-
     private fun answerSnapshotRequest(from: VmId, request: GossipMessage.SnapshotRequest, nowMs: Long) {
         val state = current ?: return
         val chunk = snapshots.chunkFor(request, state, nowMs) ?: return
--- a/configuration/src/test/kotlin/io/daisybend/configuration/ConfigurationStateTest.kt
+++ b/configuration/src/test/kotlin/io/daisybend/configuration/ConfigurationStateTest.kt
@@ -109,6 +109,7 @@
 
     test("a record of a newer version stops the replay instead of being skipped") {
         started().replay(1, byteArrayOf(2, 0)).getError() shouldBe CodecFailure.NewerFormat(2)
+        started().replay(1, "{}".toByteArray()).expectOk().revision shouldBe 1
     }
 
     test("a snapshot gives back the whole state and goes on like a replay") {
--- a/daemon/src/main/kotlin/io/daisybend/daemon/configuration/FollowedConfiguration.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/configuration/FollowedConfiguration.kt
@@ -62,7 +62,7 @@
 internal class FollowedConfiguration(
     private val ports: ConfigurationPorts,
     private val scope: CoroutineScope,
-    settings: FollowerSettings = FollowerSettings(),
+    private val settings: FollowerSettings = FollowerSettings(),
 ) : ConfigurationView,
     CallerAuthenticator,
     FollowerView {
@@ -72,6 +72,9 @@
     private val follower = ConfigurationFollower(settings)
     private val requests = KeyedRequests()
 
+    /** Until when requests may be served without asking the follower again. */
+    @Volatile
+    private var freshUntilMs = Long.MIN_VALUE
     private val inForce = MutableStateFlow<InForce?>(null)
 
     override val state: ConfigurationState? get() = inForce.value?.state
@@ -87,7 +90,7 @@
     override fun current(): ConfigurationIndex? = inForce.value?.index
 
     override fun confirmCurrent(): Result<Unit, RequestFailure> =
-        if (freshness is Freshness.Unconfirmed) {
+        if (ports.clock.nowMs() > freshUntilMs && freshness is Freshness.Unconfirmed) {
             Err(RequestFailure.NotReady(Freshness.Unconfirmed.message, RETRY_AFTER_MS))
         } else {
             Ok(Unit)
@@ -127,11 +130,19 @@
 
     /** Takes [event]; what is published is in force, and the requests of ended keys are ending, when this returns. */
     private fun handle(event: FollowerEvent): List<FollowerAction> = synchronized(lock) {
-        val actions = follower.handle(event, ports.clock.nowMs())
+        val nowMs = ports.clock.nowMs()
+        val actions = follower.handle(event, nowMs)
         actions.filterIsInstance<FollowerAction.Publish>().lastOrNull()?.let { publish(it.state) }
+        freshUntilMs = freshUntilMs(nowMs)
         actions
     }
 
+    private fun freshUntilMs(nowMs: Long): Long = when (follower.freshnessAt(nowMs)) {
+        Freshness.ConfirmedByLog -> (follower.confirmedUntilMs ?: nowMs) + settings.freshnessMs
+        Freshness.ConfirmedByPeers -> nowMs + TICK_INTERVAL_MS
+        Freshness.Unconfirmed -> Long.MIN_VALUE
+    }
+
     private fun publish(state: ConfigurationState) {
         val before = inForce.value
         val isChanged = before?.state?.tables !== state.tables
