--- a/configuration/src/main/kotlin/io/daisybend/configuration/SnapshotWriter.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/SnapshotWriter.kt
@@ -40,6 +40,7 @@
     private class Writing(val appends: List<SnapshotAppend>, var position: Int = 0, var retryAtMs: Long? = null)
 
     private var dueSinceMs: Long? = null
+    private var startedAtMs: Long? = null
     private var writing: Writing? = null
 
     /** Takes [event] and returns what to append now, or null. */
@@ -53,7 +54,7 @@
         val running = writing
         if (running != null) return retry(running, nowMs)
         val state = event.state ?: return null
-        if (!isDue(state, nowMs)) {
+        if (!isDue(state, nowMs) || awaitsMarker(nowMs)) {
             dueSinceMs = null
             return null
         }
@@ -62,6 +63,9 @@
         return if (isMyTurn(state, event.liveVms, nowMs - since)) start(state, nowMs) else null
     }
 
+    /** Tells whether the marker of this VM's own last snapshot may still be on its way back through the log. */
+    private fun awaitsMarker(nowMs: Long): Boolean = startedAtMs?.let { nowMs - it < settings.takeoverMs } == true
+
     private fun isMyTurn(state: ConfigurationState, liveVms: List<VmId>, dueForMs: Long): Boolean {
         val ranked = rankByRendezvous("snapshot-${state.lastSnapshot?.nextOffset}", liveVms)
         val rank = ranked.indexOf(vmId)
@@ -76,6 +80,7 @@
 
     private fun start(state: ConfigurationState, nowMs: Long): SnapshotAppend {
         dueSinceMs = null
+        startedAtMs = nowMs
         val chunks = snapshotChunks(state, settings.chunkBytes).map { SnapshotAppend(SNAPSHOT_STREAM, encodeChunk(it)) }
         val marker = encodeRecord(ConfigurationRecord.SnapshotWritten(state.nextOffset, nowMs))
         val started = Writing(chunks + SnapshotAppend(CONFIGURATION_STREAM, marker))
--- a/configuration/src/test/kotlin/io/daisybend/configuration/SnapshotReaderTest.kt
+++ b/configuration/src/test/kotlin/io/daisybend/configuration/SnapshotReaderTest.kt
@@ -69,6 +69,7 @@
         started.size shouldBe 1
         started.single().handle(SnapshotWriterEvent.Appended, 1)?.stream shouldBe CONFIGURATION_STREAM
         started.single().handle(SnapshotWriterEvent.Appended, 2) shouldBe null
+        started.single().handle(tick, 3) shouldBe null
         writers.filter { it !in started }.mapNotNull { it.handle(tick, 15_000) }.size shouldBe 1
     }
 
