--- /dev/null
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadScheduler.kt
@@ -0,0 +1,188 @@
+/*
+ * Orders the loads of one weight store. All requests that need the same weights on the same endpoint share one load.
+ * Loads start by class, then deadline, then waiting time; a batch load that has waited long enough is ordered like an
+ * interactive one. Remote loads need a store permit and adapters an adapter permit; loads from an endpoint's own memory
+ * or disk start at once.
+ */
+package io.daisybend.scheduling.loads
+
+import io.daisybend.kernel.RequestId
+import io.daisybend.scheduling.PriorityClass
+import java.util.TreeSet
+
+/** The limits of a weight store. */
+public data class LoadSchedulerSettings(
+    val loadsPerSecond: Double = 1.6,
+    val maxConcurrentLoads: Int = 4,
+    val startBurst: Int = 4,
+    val maxConcurrentAdapters: Int = 32,
+    val batchAgingMs: Long = 60_000,
+    val permitTimeoutMs: Long = 120_000,
+)
+
+/** Decides which load starts next; not safe for use by several threads. */
+public class LoadScheduler(private val settings: LoadSchedulerSettings = LoadSchedulerSettings()) {
+    private val loads = HashMap<LoadKey, Load>()
+    private val keyByRequest = HashMap<RequestId, LoadKey>()
+    private val pendingModels = TreeSet<Load>()
+    private val pendingAdapters = TreeSet<Load>()
+    private val modelPermits =
+        LoadPermits(settings.loadsPerSecond, settings.maxConcurrentLoads, settings.startBurst)
+    private val adapterPermits =
+        LoadPermits(ADAPTER_STARTS_PER_SECOND, settings.maxConcurrentAdapters, settings.maxConcurrentAdapters)
+    private var nextSequence = 0L
+
+    /** The number of loads that wait for a permit. */
+    public val pendingCount: Int get() = pendingModels.size + pendingAdapters.size
+
+    /** The number of loads that run on a permit. */
+    public val inFlightCount: Int get() = modelPermits.inFlight + adapterPermits.inFlight
+
+    /** Applies [event] at [nowMs] and returns what to do, in order; unknown keys and request ids are ignored. */
+    public fun handle(event: LoadEvent, nowMs: Long): List<LoadAction> {
+        val actions = ArrayList<LoadAction>(2)
+        when (event) {
+            is LoadEvent.Requested -> onRequested(event, nowMs, actions)
+            is LoadEvent.Finished -> end(event.key) { actions += LoadAction.Ready(event.key, it) }
+            is LoadEvent.Failed -> end(event.key) { actions += LoadAction.Reroute(event.key, it) }
+            is LoadEvent.WaiterLeft -> onWaiterLeft(event.requestId)
+            LoadEvent.Tick -> refuseExpired(nowMs, actions)
+        }
+        modelPermits.expire(nowMs)
+        adapterPermits.expire(nowMs)
+        startAll(pendingModels, modelPermits, nowMs, actions)
+        startAll(pendingAdapters, adapterPermits, nowMs, actions)
+        return actions
+    }
+
+    private fun onRequested(event: LoadEvent.Requested, nowMs: Long, actions: MutableList<LoadAction>) {
+        if (event.waiter.requestId in keyByRequest) return
+        val remainingMs = event.waiter.deadlineMs - nowMs
+        val expectedWaitMs = expectedWaitMs(event, nowMs)
+        if (expectedWaitMs > remainingMs) {
+            actions += LoadAction.Refuse(event.waiter, unreachable(expectedWaitMs, remainingMs))
+            return
+        }
+        val known = loads[event.key]
+        val load = known ?: Load(event, nextSequence++, nowMs).also { loads[event.key] = it }
+        keyByRequest[event.waiter.requestId] = event.key
+        reorder(load) { load.waiters[event.waiter.requestId] = event.waiter }
+        if (known == null) enqueue(load, nowMs, actions)
+    }
+
+    private fun enqueue(load: Load, nowMs: Long, actions: MutableList<LoadAction>) {
+        when {
+            load.key.adapterId != null -> pendingAdapters += load
+            load.source == WeightSource.REMOTE -> pendingModels += load
+            else -> start(load, nowMs, actions)
+        }
+    }
+
+    private fun start(load: Load, nowMs: Long, actions: MutableList<LoadAction>) {
+        load.startedAtMs = nowMs
+        actions += LoadAction.Start(load.key, load.source)
+    }
+
+    private fun startAll(
+        pending: TreeSet<Load>,
+        permits: LoadPermits,
+        nowMs: Long,
+        actions: MutableList<LoadAction>,
+    ) {
+        while (pending.isNotEmpty()) {
+            val next = pending.first()
+            val expiresAtMs = nowMs + maxOf(settings.permitTimeoutMs, 2 * next.expectedLoadMs)
+            if (!permits.tryAcquire(next.key, expiresAtMs, nowMs)) break
+            pending -= next
+            start(next, nowMs, actions)
+        }
+        if (pending.isNotEmpty()) permits.nextStartAtMs(nowMs)?.let { actions += LoadAction.WakeAt(it) }
+    }
+
+    private inline fun end(key: LoadKey, report: (List<LoadWaiter>) -> Unit) {
+        val load = loads.remove(key) ?: return
+        pendingModels -= load
+        pendingAdapters -= load
+        modelPermits.release(key)
+        adapterPermits.release(key)
+        val waiters = load.waiters.values.sortedBy { it.deadlineMs }
+        waiters.forEach { keyByRequest -= it.requestId }
+        report(waiters)
+    }
+
+    private fun onWaiterLeft(requestId: RequestId) {
+        val load = loads[keyByRequest.remove(requestId)] ?: return
+        reorder(load) { load.waiters -= requestId }
+        if (load.waiters.isEmpty() && load.startedAtMs == null) end(load.key) {}
+    }
+
+    private fun refuseExpired(nowMs: Long, actions: MutableList<LoadAction>) {
+        val expired = loads.values.sortedBy { it.sequence }
+            .flatMap { load -> load.waiters.values.filter { it.deadlineMs < nowMs + load.remainingMs(nowMs) } }
+        expired.forEach { waiter ->
+            val load = loads.getValue(keyByRequest.getValue(waiter.requestId))
+            val refusal = unreachable(load.remainingMs(nowMs), waiter.deadlineMs - nowMs)
+            onWaiterLeft(waiter.requestId)
+            actions += LoadAction.Refuse(waiter, refusal)
+        }
+    }
+
+    private fun expectedWaitMs(event: LoadEvent.Requested, nowMs: Long): Long {
+        loads[event.key]?.startedAtMs?.let { return maxOf(0L, it + event.expectedLoadMs - nowMs) }
+        if (event.key.adapterId != null || event.source != WeightSource.REMOTE) return event.expectedLoadMs
+        val probe = Load(event, Long.MAX_VALUE, nowMs)
+        probe.waiters[event.waiter.requestId] = event.waiter
+        probe.refreshOrder(settings.batchAgingMs)
+        val ahead = pendingModels.headSet(probe).count { it.key != event.key }
+        val startIntervalMs = MILLIS_PER_SECOND / settings.loadsPerSecond
+        val slotIntervalMs = event.expectedLoadMs.toDouble() / settings.maxConcurrentLoads
+        return (ahead * maxOf(startIntervalMs, slotIntervalMs)).toLong() + event.expectedLoadMs
+    }
+
+    private fun unreachable(expectedWaitMs: Long, remainingMs: Long) =
+        LoadRefusal.DeadlineUnreachable(
+            expectedWaitMs = expectedWaitMs,
+            remainingMs = remainingMs,
+            retryAfterMs = maxOf(MIN_RETRY_AFTER_MS, expectedWaitMs),
+        )
+
+    /** Changes what orders [load] while it is out of the sorted sets. */
+    private inline fun reorder(load: Load, change: () -> Unit) {
+        val set = listOf(pendingModels, pendingAdapters).firstOrNull { it.remove(load) }
+        change()
+        load.refreshOrder(settings.batchAgingMs)
+        set?.add(load)
+    }
+
+    private class Load(event: LoadEvent.Requested, val sequence: Long, val requestedAtMs: Long) : Comparable<Load> {
+        val key: LoadKey = event.key
+        val source: WeightSource = event.source
+        val expectedLoadMs: Long = event.expectedLoadMs
+        val waiters = LinkedHashMap<RequestId, LoadWaiter>()
+        var startedAtMs: Long? = null
+        private var orderClass = event.waiter.priorityClass
+        private var orderDeadlineMs = event.waiter.deadlineMs
+
+        /** An interactive load is ordered by its deadline, a batch load by the time at which it counts as urgent. */
+        fun refreshOrder(batchAgingMs: Long) {
+            orderClass = waiters.values.minOfOrNull { it.priorityClass } ?: PriorityClass.BATCH
+            val deadlineMs = waiters.values.filter { it.priorityClass == orderClass }.minOfOrNull { it.deadlineMs }
+            orderDeadlineMs = when (orderClass) {
+                PriorityClass.INTERACTIVE -> deadlineMs ?: Long.MAX_VALUE
+                PriorityClass.BATCH -> requestedAtMs + batchAgingMs
+            }
+        }
+
+        fun remainingMs(nowMs: Long): Long =
+            startedAtMs?.let { maxOf(0L, it + expectedLoadMs - nowMs) } ?: expectedLoadMs
+
+        override fun compareTo(other: Load): Int =
+            compareValuesBy(this, other, { it.orderDeadlineMs }, { it.orderClass }, { it.sequence })
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+        const val MIN_RETRY_AFTER_MS = 1_000L
+        const val ADAPTER_STARTS_PER_SECOND = 100_000.0
+    }
+}
