--- /dev/null
+++ b/bench/src/main/kotlin/io/daisybend/bench/BenchOptions.kt
@@ -0,0 +1,39 @@
+/*
+ * The command line of the bench.
+ */
+package io.daisybend.bench
+
+import org.kohsuke.args4j.Option
+
+internal class BenchOptions {
+    @Option(name = "--seed", usage = "seed of all traces")
+    var seed: Long = DEFAULT_SEED
+
+    @Option(name = "--short", usage = "a fifth of each scenario's duration")
+    var isShort: Boolean = false
+
+    @Option(name = "--scenario", usage = "run one scenario only")
+    var scenario: String? = null
+
+    @Option(name = "--site", usage = "run one site only: cinema-site or exchange-site")
+    var site: String? = null
+
+    @Option(name = "--json", usage = "write the figures to this file")
+    var jsonFile: String = "bench.json"
+
+    @Option(name = "--plot", usage = "write PNG pictures beside the JSON file")
+    var isPlotting: Boolean = false
+
+    @Option(name = "--decisions", usage = "measure time and memory of each decision instead")
+    var measuresDecisions: Boolean = false
+
+    @Option(name = "--idle", usage = "compare idle rules instead")
+    var comparesIdleRules: Boolean = false
+
+    @Option(name = "--help", help = true, usage = "print this text")
+    var isHelp: Boolean = false
+
+    private companion object {
+        const val DEFAULT_SEED = 1L
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/daisybend/bench/decisions/SystemDecisions.kt
@@ -0,0 +1,149 @@
+/*
+ * The system's own decisions.
+ */
+package io.daisybend.bench.decisions
+
+import io.daisybend.bench.run.EventLoop
+import io.daisybend.bench.site.SitePreset
+import io.daisybend.kernel.EndpointId
+import io.daisybend.kernel.RequestId
+import io.daisybend.kernel.TeamId
+import io.daisybend.scheduling.PriorityClass
+import io.daisybend.scheduling.loads.LoadScheduler
+import io.daisybend.scheduling.loads.LoadSchedulerSettings
+import io.daisybend.scheduling.queue.FairQueue
+import io.daisybend.scheduling.queue.FairQueueSettings
+import io.daisybend.scheduling.queue.QueueAction
+import io.daisybend.scheduling.queue.QueueEvent
+import io.daisybend.scheduling.queue.QueuedRequest
+import io.daisybend.scheduling.replicas.IdleRule
+import io.daisybend.scheduling.replicas.ReplicaPolicy
+import io.daisybend.scheduling.replicas.ReplicaPolicySettings
+import io.daisybend.scheduling.routing.ReplicaCandidate
+import io.daisybend.scheduling.routing.ReplicaRouter
+import io.daisybend.scheduling.routing.ReplicaRouterSettings
+import io.daisybend.scheduling.routing.RouterEvent
+import io.daisybend.scheduling.routing.RoutingRequest
+import kotlin.random.Random
+
+internal fun systemDecisions(
+    site: SitePreset,
+    loop: EventLoop,
+    seed: Long,
+    idleRule: IdleRule = IdleRule.Adaptive(),
+): Decisions {
+    val scheduler = LoadScheduler(loadSettings(site))
+    val policy = ReplicaPolicy(replicaSettings(site, idleRule))
+    return Decisions(
+        name = "daisybend",
+        sharesReplicaState = true,
+        needsLogForLoads = true,
+        rates = SharedBucketRates(site, loop),
+        loads = scheduler::handle,
+        replicas = policy::handle,
+        newQueue = { FairQueueDecision(site, it) },
+        newRouter = { ReplicaRouterDecision(site, Random(seed + it)) },
+    )
+}
+
+private fun loadSettings(site: SitePreset) =
+    LoadSchedulerSettings(
+        loadsPerSecond = site.costs.loadsPerSecond,
+        maxConcurrentLoads = site.costs.maxConcurrentLoads,
+        maxConcurrentAdapters = site.costs.maxConcurrentAdapters,
+    )
+
+private fun replicaSettings(site: SitePreset, idleRule: IdleRule) =
+    ReplicaPolicySettings(
+        memoryBytesPerSecond = site.costs.memoryBytesPerSecond,
+        diskBytesPerSecond = site.costs.diskBytesPerSecond,
+        remoteBytesPerSecond = site.costs.remoteBytesPerSecond,
+        idleRule = idleRule,
+    )
+
+private class FairQueueDecision(site: SitePreset, maxConcurrentRequests: Int) : QueueDecision {
+    private val queue = FairQueue(
+        FairQueueSettings(maxConcurrentRequests = maxConcurrentRequests, initialTokensPerSecondPerSlot = 300),
+    )
+    private val probe = QueuedRequest(
+        requestId = RequestId("probe"),
+        teamId = site.teams.first().teamId,
+        priorityClass = PriorityClass.INTERACTIVE,
+        costTokens = 1_000,
+        deadlineMs = Long.MAX_VALUE,
+    )
+    private var lastEventMs = 0L
+
+    override val pendingTokens: Long get() = queue.pendingTokens
+    override val expectedWaitMs: Long get() = queue.expectedWaitMs(probe, lastEventMs)
+
+    override fun handle(event: QueueEvent, nowMs: Long): List<QueueAction> {
+        lastEventMs = nowMs
+        return queue.handle(event, nowMs)
+    }
+}
+
+private class ReplicaRouterDecision(site: SitePreset, random: Random) : RouterDecision {
+    private val router = ReplicaRouter(
+        random,
+        ReplicaRouterSettings(
+            prefillTokensPerSecond = site.costs.prefillTokensPerSecond,
+            decodeTokensPerSecond = site.engines.first().maxConcurrentRequests * TOKENS_PER_SLOT_SECOND,
+        ),
+    )
+
+    override fun route(request: RoutingRequest, candidates: List<ReplicaCandidate>, nowMs: Long): EndpointId? =
+        router.route(request, candidates, nowMs)
+
+    override fun handle(event: RouterEvent, nowMs: Long) = router.handle(event, nowMs)
+
+    private companion object {
+        const val TOKENS_PER_SLOT_SECOND = 300L
+    }
+}
+
+/** One bucket for all VMs without any delay: a placeholder that no distributed limiter can beat. */
+private class SharedBucketRates(site: SitePreset, private val loop: EventLoop) : RateDecision {
+    private class Bucket(var tokens: Double, var filledAtMs: Long = 0)
+
+    private val teams = site.teams.associateBy { it.teamId }
+    private val buckets = site.teams.associate { it.teamId to Bucket(it.burstTokens.toDouble()) }
+    private val reservedTokens = HashMap<RequestId, Long>()
+
+    override fun entryVm(teamId: TeamId, requestId: RequestId, vmIndex: Int): Int = vmIndex
+
+    override fun reserve(
+        vmIndex: Int,
+        requestId: RequestId,
+        teamId: TeamId,
+        tokens: Long,
+        onVerdict: (Boolean) -> Unit,
+    ) {
+        val bucket = filled(teamId)
+        val isAdmitted = bucket.tokens >= tokens
+        if (isAdmitted) {
+            bucket.tokens -= tokens
+            reservedTokens[requestId] = tokens
+        }
+        onVerdict(isAdmitted)
+    }
+
+    override fun settle(vmIndex: Int, requestId: RequestId, teamId: TeamId, usedTokens: Long) {
+        val reserved = reservedTokens.remove(requestId) ?: return
+        val bucket = filled(teamId)
+        bucket.tokens = minOf(teams.getValue(teamId).burstTokens.toDouble(), bucket.tokens + reserved - usedTokens)
+    }
+
+    override fun restartVm(vmIndex: Int) = Unit
+
+    override fun logDown(untilMs: Long) = Unit
+
+    private fun filled(teamId: TeamId): Bucket {
+        val bucket = buckets.getValue(teamId)
+        val team = teams.getValue(teamId)
+        val added = (loop.nowMs - bucket.filledAtMs) * team.rateTokensPerSecond / 1_000.0
+        bucket.tokens = minOf(team.burstTokens.toDouble(), bucket.tokens + added)
+        bucket.filledAtMs = loop.nowMs
+        return bucket
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
@@ -0,0 +1,272 @@
+/*
+ * Finds a replica for a request, and gets one loaded when there is none. Where VMs share the replicas' state, they see
+ * each load as soon as it is decided; otherwise each VM knows its own loads and learns of ready replicas with a lag.
+ */
+package io.daisybend.bench.run
+
+import io.daisybend.bench.site.ModelSpec
+import io.daisybend.kernel.EndpointId
+import io.daisybend.kernel.ModelId
+import io.daisybend.scheduling.loads.LoadAction
+import io.daisybend.scheduling.loads.LoadEvent
+import io.daisybend.scheduling.loads.LoadKey
+import io.daisybend.scheduling.loads.LoadWaiter
+import io.daisybend.scheduling.loads.WeightSource
+import io.daisybend.scheduling.replicas.EndpointView
+import io.daisybend.scheduling.replicas.ReplicaAction
+import io.daisybend.scheduling.replicas.ReplicaEvent
+import io.daisybend.scheduling.replicas.ReplicaState
+import io.daisybend.scheduling.routing.ReplicaCandidate
+import io.daisybend.scheduling.routing.RoutingRequest
+
+internal class LoadFlow(private val context: RunContext) {
+    private val loop = context.loop
+    private val decisions = context.decisions
+    private val store = WeightStoreCosts(context.site.costs, loop)
+    private val models = context.site.models.associateBy { it.modelId }
+    private val readyAsSeen = HashMap<ModelId, List<EndpointId>>()
+    private val ownLoads = List(context.site.vmCount) { HashMap<ModelId, LoadKey>() }
+    private var adapterLoadsInFlight = 0
+    private var wakeAtMs = Long.MAX_VALUE
+
+    lateinit var engineFlow: EngineFlow
+
+    /** Sends [request] to a replica, to a load that it can share, or has a replica loaded. */
+    fun place(request: ActiveRequest) {
+        val model = request.arrival.model
+        if (readyInTruth(model).isEmpty()) markCold(request)
+        val ready = if (decisions.sharesReplicaState) readyInTruth(model) else readyAsSeenBy(request)
+        when {
+            ready.isNotEmpty() -> route(request, ready)
+            else -> loadInProgress(request)?.let { join(request, it) } ?: propose(request)
+        }
+    }
+
+    fun tick() = handle(LoadEvent.Tick)
+
+    /** Publishes ready replicas to the VMs that do not share the replicas' state. */
+    fun publishReplicas() {
+        models.values.forEach { readyAsSeen[it.modelId] = readyInTruth(it) }
+        val loading = { modelId: ModelId, key: LoadKey -> stateAt(key.endpointId, modelId) == ReplicaState.LOADING }
+        ownLoads.forEach { loads -> loads.entries.removeIf { !loading(it.key, it.value) } }
+    }
+
+    fun review() {
+        val unloads = decisions.replicas.handle(ReplicaEvent.Reviewed(views { true }), loop.nowMs)
+        unloads.filterIsInstance<ReplicaAction.Unload>().forEach {
+            context.counts.idleUnloads++
+            context.engine(it.endpointId).unload(it.modelId, loop.nowMs)
+        }
+        observeWaits()
+    }
+
+    private fun observeWaits() {
+        val waiting = context.requests.values.filter { it.endpointId != null && !it.isDispatched }
+        for (model in waiting.map { it.arrival.model }.distinct()) {
+            val waitMs = readyInTruth(model).minOfOrNull { engineFlow.queue(it).expectedWaitMs } ?: continue
+            val event = ReplicaEvent.WaitObserved(model.weights, waitMs, viewsOf(model))
+            carryOut(decisions.replicas.handle(event, loop.nowMs), model, waiter = null)
+        }
+    }
+
+    private fun markCold(request: ActiveRequest) {
+        if (request.isCold) return
+        request.isCold = true
+        context.counts.coldRequests++
+    }
+
+    private fun route(request: ActiveRequest, ready: List<EndpointId>) {
+        val arrival = request.arrival
+        val routing = RoutingRequest(
+            requestId = arrival.requestId,
+            modelId = arrival.model.modelId,
+            promptTokens = arrival.promptTokens,
+            expectedTokens = arrival.reservedTokens,
+            prefixHashes = arrival.prefixHashes,
+        )
+        val candidates = ready.map { ReplicaCandidate(it, context.site.costs.betweenVmsMs.toDouble()) }
+        val chosen = checkNotNull(context.routers[request.vmIndex].route(routing, candidates, loop.nowMs))
+        send(request, chosen)
+    }
+
+    private fun send(request: ActiveRequest, endpointId: EndpointId) {
+        val modelId = request.arrival.model.modelId
+        if (stateAt(endpointId, modelId) != ReplicaState.READY) {
+            readyAsSeen.computeIfPresent(modelId) { _, seen -> seen - endpointId }
+            return place(request)
+        }
+        val engine = context.engine(endpointId)
+        engine.use(modelId, loop.nowMs)
+        val adapterId = request.arrival.adapterId
+        if (adapterId == null || engine.hasAdapter(adapterId)) return engineFlow.enqueue(request, endpointId)
+        val key = LoadKey(endpointId, modelId, adapterId)
+        val adapterMs = context.site.costs.adapterLoadMs
+        handle(LoadEvent.Requested(key, WeightSource.REMOTE, adapterMs, waiterOf(request)))
+    }
+
+    private fun loadInProgress(request: ActiveRequest): LoadKey? {
+        val modelId = request.arrival.model.modelId
+        if (!decisions.sharesReplicaState) return ownLoads[request.vmIndex][modelId]
+        val engine = context.engines.values.firstOrNull { it.stateOf(modelId) == ReplicaState.LOADING } ?: return null
+        return LoadKey(engine.spec.endpointId, modelId)
+    }
+
+    private fun join(request: ActiveRequest, key: LoadKey) {
+        if (stateAt(key.endpointId, key.modelId) == ReplicaState.READY) return send(request, key.endpointId)
+        ownLoads[request.vmIndex][key.modelId] = key
+        val source = context.engine(key.endpointId).sourceOf(key.modelId)
+        handle(LoadEvent.Requested(key, source, fullSpeedMs(key.modelId, source), waiterOf(request)))
+    }
+
+    private fun propose(request: ActiveRequest) {
+        val model = request.arrival.model
+        val event = ReplicaEvent.ReplicaMissing(model.weights, viewsOf(model))
+        carryOut(decisions.replicas.handle(event, loop.nowMs), model, request)
+    }
+
+    private fun carryOut(actions: List<ReplicaAction>, model: ModelSpec, waiter: ActiveRequest?) {
+        for (action in actions) {
+            when (action) {
+                is ReplicaAction.Unload -> {
+                    context.counts.evictions++
+                    context.engine(action.endpointId).unload(action.modelId, loop.nowMs)
+                }
+                is ReplicaAction.Load -> load(action, model, waiter)
+                is ReplicaAction.NoRoom -> waiter?.let(::retryLater)
+                is ReplicaAction.DrainAndUnload, is ReplicaAction.HoldRequests -> Unit
+            }
+        }
+    }
+
+    private fun load(action: ReplicaAction.Load, model: ModelSpec, waiter: ActiveRequest?) {
+        val key = LoadKey(action.endpointId, model.modelId)
+        if (stateAt(key.endpointId, key.modelId) == null) reserve(key, model)
+        if (waiter != null) return join(waiter, key)
+        handle(LoadEvent.Requested(key, action.source, action.expectedLoadMs, waiter = null))
+    }
+
+    private fun reserve(key: LoadKey, model: ModelSpec) {
+        if (context.engines.values.any { it.stateOf(model.modelId) == ReplicaState.LOADING }) {
+            context.counts.duplicateLoads++
+        }
+        context.engine(key.endpointId).reserve(model.weights, loop.nowMs)
+    }
+
+    private fun retryLater(request: ActiveRequest) {
+        if (loop.nowMs > request.arrival.deadlineMs) return context.refuse(request)
+        loop.after(NO_ROOM_RETRY_MS) { place(request) }
+    }
+
+    private fun handle(event: LoadEvent) {
+        decisions.loads.handle(event, loop.nowMs).forEach(::carryOut)
+    }
+
+    private fun carryOut(action: LoadAction) {
+        when (action) {
+            is LoadAction.Start -> start(action)
+            is LoadAction.Ready -> action.waiters.forEach { sendWaiter(it, action.key) }
+            is LoadAction.Reroute -> action.waiters.forEach { waiter -> activeRequest(waiter)?.let(::place) }
+            is LoadAction.Refuse -> refuse(action)
+            is LoadAction.Drop -> drop(action.key)
+            is LoadAction.WakeAt -> wakeAt(action.atMs)
+        }
+    }
+
+    private fun start(action: LoadAction.Start) {
+        val key = action.key
+        if (key.adapterId != null) return startAdapter(key)
+        context.counts.loads++
+        val logMs = if (decisions.needsLogForLoads) context.site.costs.logAppendMs else 0
+        val onDone = { finishLoad(key) }
+        when (action.source) {
+            WeightSource.REMOTE -> loop.after(logMs) { store.load(weightsBytes(key.modelId), onDone) }
+            else -> loop.after(logMs + fullSpeedMs(key.modelId, action.source), onDone)
+        }
+    }
+
+    private fun finishLoad(key: LoadKey) {
+        context.engine(key.endpointId).loaded(key.modelId, loop.nowMs)
+        handle(LoadEvent.Finished(key))
+    }
+
+    private fun startAdapter(key: LoadKey) {
+        adapterLoadsInFlight++
+        val costs = context.site.costs
+        val slowdown = maxOf(1.0, adapterLoadsInFlight.toDouble() / costs.maxConcurrentAdapters)
+        loop.after((costs.adapterLoadMs * slowdown).toLong()) {
+            adapterLoadsInFlight--
+            key.adapterId?.let { context.engine(key.endpointId).addAdapter(it) }
+            handle(LoadEvent.Finished(key))
+        }
+    }
+
+    private fun sendWaiter(waiter: LoadWaiter, key: LoadKey) {
+        val request = activeRequest(waiter) ?: return
+        if (key.adapterId == null) send(request, key.endpointId) else engineFlow.enqueue(request, key.endpointId)
+    }
+
+    private fun refuse(action: LoadAction.Refuse) {
+        val request = activeRequest(action.waiter) ?: return
+        context.refuse(request)
+    }
+
+    /** Frees the memory of a load that will not start. */
+    private fun drop(key: LoadKey) {
+        if (key.adapterId != null) return
+        context.engine(key.endpointId).unload(key.modelId, loop.nowMs)
+    }
+
+    private fun wakeAt(atMs: Long) {
+        if (wakeAtMs <= atMs && wakeAtMs > loop.nowMs) return
+        wakeAtMs = atMs
+        loop.at(atMs) {
+            wakeAtMs = Long.MAX_VALUE
+            handle(LoadEvent.Tick)
+        }
+    }
+
+    private fun activeRequest(waiter: LoadWaiter): ActiveRequest? = context.requests[waiter.requestId]
+
+    private fun waiterOf(request: ActiveRequest) =
+        LoadWaiter(request.arrival.requestId, request.arrival.priorityClass, request.arrival.deadlineMs)
+
+    private fun fullSpeedMs(modelId: ModelId, source: WeightSource): Long {
+        val costs = context.site.costs
+        val bytesPerSecond = when (source) {
+            WeightSource.MEMORY -> costs.memoryBytesPerSecond
+            WeightSource.DISK -> costs.diskBytesPerSecond
+            WeightSource.REMOTE -> costs.remoteBytesPerSecond
+        }
+        return weightsBytes(modelId) * 1_000 / bytesPerSecond
+    }
+
+    private fun weightsBytes(modelId: ModelId): Long = models.getValue(modelId).weights.weightsBytes
+
+    private fun readyInTruth(model: ModelSpec): List<EndpointId> =
+        context.engines.values
+            .filter { it.stateOf(model.modelId) == ReplicaState.READY }
+            .map { it.spec.endpointId }
+
+    private fun readyAsSeenBy(request: ActiveRequest): List<EndpointId> {
+        val modelId = request.arrival.model.modelId
+        val own = ownLoads[request.vmIndex][modelId]
+            ?.endpointId
+            ?.takeIf { stateAt(it, modelId) == ReplicaState.READY }
+        return (readyAsSeen[modelId].orEmpty() + listOfNotNull(own)).distinct()
+    }
+
+    private fun stateAt(endpointId: EndpointId, modelId: ModelId): ReplicaState? =
+        context.engine(endpointId).stateOf(modelId)
+
+    private fun viewsOf(model: ModelSpec): List<EndpointView> = views { it.spec.pool == model.pool }
+
+    private fun views(filter: (EngineState) -> Boolean): List<EndpointView> =
+        context.engines.values.filter(filter).map { engine ->
+            val acceptsOrders = !decisions.needsLogForLoads || context.isLogUp || engine.spec.checksFencing
+            engine.view(engineFlow.queue(engine.spec.endpointId).pendingTokens, acceptsOrders)
+        }
+
+    private companion object {
+        const val NO_ROOM_RETRY_MS = 250L
+    }
+}
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadProtocol.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadProtocol.kt
@@ -42,12 +42,15 @@
 
 /** What may happen to loads. */
 public sealed interface LoadEvent {
-    /** A request needs [key], which takes about [expectedLoadMs] from [source] once it runs. */
+    /**
+     * The load of [key], which takes about [expectedLoadMs] from [source] once it runs, is wanted: by [waiter], or
+     * ahead of requests when that is null.
+     */
     public data class Requested(
         val key: LoadKey,
         val source: WeightSource,
         val expectedLoadMs: Long,
-        val waiter: LoadWaiter,
+        val waiter: LoadWaiter?,
     ) : LoadEvent
 
     /** A load has ended well. */
@@ -71,9 +74,12 @@
     /** The weights are in place; the requests can run. */
     public data class Ready(val key: LoadKey, val waiters: List<LoadWaiter>) : LoadAction
 
-    /** The load failed or nobody waits for it; the requests need another endpoint. */
+    /** The load failed; the requests need another endpoint. */
     public data class Reroute(val key: LoadKey, val waiters: List<LoadWaiter>) : LoadAction
 
+    /** Nobody waits any more for a load that has not started; the memory reserved for it is free. */
+    public data class Drop(val key: LoadKey) : LoadAction
+
     /** Tell the caller that the request was not run. */
     public data class Refuse(val waiter: LoadWaiter, val refusal: LoadRefusal) : LoadAction
 
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadScheduler.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadScheduler.kt
@@ -45,7 +45,7 @@
             is LoadEvent.Requested -> onRequested(event, nowMs, actions)
             is LoadEvent.Finished -> end(event.key) { actions += LoadAction.Ready(event.key, it) }
             is LoadEvent.Failed -> end(event.key) { actions += LoadAction.Reroute(event.key, it) }
-            is LoadEvent.WaiterLeft -> onWaiterLeft(event.requestId)
+            is LoadEvent.WaiterLeft -> onWaiterLeft(event.requestId, actions)
             LoadEvent.Tick -> refuseExpired(nowMs, actions)
         }
         modelPermits.expire(nowMs)
@@ -56,20 +56,30 @@
     }
 
     private fun onRequested(event: LoadEvent.Requested, nowMs: Long, actions: MutableList<LoadAction>) {
-        if (event.waiter.requestId in keyByRequest) return
-        val remainingMs = event.waiter.deadlineMs - nowMs
-        val expectedWaitMs = expectedWaitMs(event, nowMs)
-        if (expectedWaitMs > remainingMs) {
-            actions += LoadAction.Refuse(event.waiter, unreachable(expectedWaitMs, remainingMs))
-            return
-        }
+        val waiter = event.waiter
+        if (waiter != null && waiter.requestId in keyByRequest) return
+        if (waiter != null && refusesAtOnce(event, waiter, nowMs, actions)) return
         val known = loads[event.key]
         val load = known ?: Load(event, nextSequence++, nowMs).also { loads[event.key] = it }
-        keyByRequest[event.waiter.requestId] = event.key
-        reorder(load) { load.waiters[event.waiter.requestId] = event.waiter }
+        reorder(load) { if (waiter != null) load.waiters[waiter.requestId] = waiter }
+        if (waiter != null) keyByRequest[waiter.requestId] = event.key
         if (known == null) enqueue(load, nowMs, actions)
     }
 
+    private fun refusesAtOnce(
+        event: LoadEvent.Requested,
+        waiter: LoadWaiter,
+        nowMs: Long,
+        actions: MutableList<LoadAction>,
+    ): Boolean {
+        val remainingMs = waiter.deadlineMs - nowMs
+        val expectedWaitMs = expectedWaitMs(event, waiter, nowMs)
+        if (expectedWaitMs <= remainingMs) return false
+        actions += LoadAction.Refuse(waiter, unreachable(expectedWaitMs, remainingMs))
+        if (event.key !in loads) actions += LoadAction.Drop(event.key)
+        return true
+    }
+
     private fun enqueue(load: Load, nowMs: Long, actions: MutableList<LoadAction>) {
         when {
             load.key.adapterId != null -> pendingAdapters += load
@@ -110,10 +120,10 @@
         report(waiters)
     }
 
-    private fun onWaiterLeft(requestId: RequestId) {
+    private fun onWaiterLeft(requestId: RequestId, actions: MutableList<LoadAction>) {
         val load = loads[keyByRequest.remove(requestId)] ?: return
         reorder(load) { load.waiters -= requestId }
-        if (load.waiters.isEmpty() && load.startedAtMs == null) end(load.key) {}
+        if (load.waiters.isEmpty() && load.startedAtMs == null) end(load.key) { actions += LoadAction.Drop(load.key) }
     }
 
     private fun refuseExpired(nowMs: Long, actions: MutableList<LoadAction>) {
@@ -122,16 +132,16 @@
         expired.forEach { waiter ->
             val load = loads.getValue(keyByRequest.getValue(waiter.requestId))
             val refusal = unreachable(load.remainingMs(nowMs), waiter.deadlineMs - nowMs)
-            onWaiterLeft(waiter.requestId)
+            onWaiterLeft(waiter.requestId, actions)
             actions += LoadAction.Refuse(waiter, refusal)
         }
     }
 
-    private fun expectedWaitMs(event: LoadEvent.Requested, nowMs: Long): Long {
+    private fun expectedWaitMs(event: LoadEvent.Requested, waiter: LoadWaiter, nowMs: Long): Long {
         loads[event.key]?.startedAtMs?.let { return maxOf(0L, it + event.expectedLoadMs - nowMs) }
         if (event.key.adapterId != null || event.source != WeightSource.REMOTE) return event.expectedLoadMs
         val probe = Load(event, Long.MAX_VALUE, nowMs)
-        probe.waiters[event.waiter.requestId] = event.waiter
+        probe.waiters[waiter.requestId] = waiter
         probe.refreshOrder(settings.batchAgingMs)
         val ahead = pendingModels.headSet(probe).count { it.key != event.key }
         val startIntervalMs = MILLIS_PER_SECOND / settings.loadsPerSecond
@@ -160,8 +170,8 @@
         val expectedLoadMs: Long = event.expectedLoadMs
         val waiters = LinkedHashMap<RequestId, LoadWaiter>()
         var startedAtMs: Long? = null
-        private var orderClass = event.waiter.priorityClass
-        private var orderDeadlineMs = event.waiter.deadlineMs
+        private var orderClass = PriorityClass.BATCH
+        private var orderDeadlineMs = Long.MAX_VALUE
 
         /** An interactive load is ordered by its deadline, a batch load by the time at which it counts as urgent. */
         fun refreshOrder(batchAgingMs: Long) {
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/queue/FairQueue.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/queue/FairQueue.kt
@@ -48,6 +48,7 @@
         val actions = ArrayList<QueueAction>(2)
         when (event) {
             is QueueEvent.Arrived -> onArrived(event.request, nowMs, actions)
+            is QueueEvent.FoundRunning -> onFoundRunning(event.request, nowMs)
             is QueueEvent.Finished -> onFinished(event.requestId, event.servedTokens, nowMs)
             is QueueEvent.Cancelled -> onCancelled(event.requestId)
             is QueueEvent.CapacityChanged -> maxConcurrentRequests = event.maxConcurrentRequests
@@ -78,6 +79,13 @@
         if (waiting.size > settings.maxWaitingRequests) refuseOfLargestBacklog(nowMs, actions)
     }
 
+    private fun onFoundRunning(request: QueuedRequest, nowMs: Long) {
+        if (request.requestId in running) return
+        waiting[request.requestId]?.let(::leaveQueue)
+        pendingTokens += request.costTokens
+        running[request.requestId] = RunningRequest(request, nowMs)
+    }
+
     /** Computes the exact backlog ahead of [request] only when the quick upper bound misses the deadline. */
     private fun wantedWaitMs(request: QueuedRequest, remainingMs: Long, nowMs: Long): Long {
         val upperBoundMs = expectedWaitMs(request, nowMs)
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/EndpointView.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/EndpointView.kt
@@ -25,7 +25,11 @@
     val idleSinceMs: Long = 0,
 )
 
-/** An engine with its memory, its replicas and the weights that it could load without the store. */
+/**
+ * An engine with its memory, its replicas and the weights that it could load without the store. While an engine does
+ * not accept orders, as in an outage of the log, nothing is loaded there and nothing that could not be reloaded is
+ * unloaded.
+ */
 public data class EndpointView(
     val endpointId: EndpointId,
     val memoryBytes: Long,
@@ -34,6 +38,7 @@
     val cachedWeights: Map<ModelId, WeightSource> = emptyMap(),
     val pendingTokens: Long = 0,
     val acceptsWork: Boolean = true,
+    val acceptsOrders: Boolean = true,
 ) {
     internal val freeBytes: Long get() = memoryBytes - usedBytes
 
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
@@ -50,7 +50,7 @@
     }
 
     private fun place(model: ModelWeights, endpoints: List<EndpointView>, nowMs: Long): List<ReplicaAction> {
-        val candidates = endpoints.filter { it.acceptsWork && it.memoryBytes >= model.weightsBytes }
+        val candidates = endpoints.filter { it.acceptsWork && it.acceptsOrders && it.memoryBytes >= model.weightsBytes }
         val best = candidates
             .mapNotNull { optionFor(it, model, nowMs) }
             .minWithOrNull(optionOrder(model.modelId, candidates))
@@ -116,7 +116,7 @@
     }
 
     private fun unloadIdle(endpoints: List<EndpointView>, nowMs: Long): List<ReplicaAction> =
-        endpoints.flatMap { endpoint ->
+        endpoints.filter { it.acceptsOrders }.flatMap { endpoint ->
             endpoint.replicas
                 .filter { isIdleTooLong(endpoint, it, nowMs) }
                 .map { ReplicaAction.Unload(endpoint.endpointId, it.modelId, it.version) }
--- a/scheduling/src/test/kotlin/io/daisybend/scheduling/loads/LoadSchedulerTest.kt
+++ b/scheduling/src/test/kotlin/io/daisybend/scheduling/loads/LoadSchedulerTest.kt
@@ -62,8 +62,14 @@
             events.forEach { scheduler.handle(it, 0) }
             val expected = events.sortedWith(
                 compareBy<LoadEvent.Requested> {
-                    if (it.waiter.priorityClass == PriorityClass.BATCH) settings.batchAgingMs else it.waiter.deadlineMs
-                }.thenBy { it.waiter.priorityClass },
+                    if (it.waiter?.priorityClass ==
+                        PriorityClass.BATCH
+                    ) {
+                        settings.batchAgingMs
+                    } else {
+                        it.waiter?.deadlineMs
+                    }
+                }.thenBy { it.waiter?.priorityClass },
             ).map { it.key }
             val order = ArrayList<LoadKey>()
             var last = key(0)
@@ -85,8 +91,9 @@
     }
 
     test("a request that the weights would reach too late is refused on arrival") {
-        val action = LoadScheduler().handle(requested(0, key(0), deadlineMs = 5_000), 0).single()
-        action.shouldBeInstanceOf<LoadAction.Refuse>()
+        val actions = LoadScheduler().handle(requested(0, key(0), deadlineMs = 5_000), 0)
+        actions.first().shouldBeInstanceOf<LoadAction.Refuse>()
+        actions.last() shouldBe LoadAction.Drop(key(0))
     }
 
     test("a lost holder's permit is free again after the timeout") {
@@ -139,7 +146,7 @@
             priorityClass = PriorityClass.entries.random(random),
             deadlineMs = nowMs + random.nextLong(5_000, 200_000),
         )
-        waiting += event.waiter.requestId
+        waiting += checkNotNull(event.waiter).requestId
         apply(event)
     }
 
@@ -163,6 +170,7 @@
             is LoadAction.Ready -> action.waiters.forEach { waiting.remove(it.requestId) shouldBe true }
             is LoadAction.Reroute -> action.waiters.forEach { waiting.remove(it.requestId) shouldBe true }
             is LoadAction.Refuse -> waiting.remove(action.waiter.requestId) shouldBe true
+            is LoadAction.Drop -> (action.key in inFlight) shouldBe false
             is LoadAction.WakeAt -> (action.atMs > nowMs) shouldBe true
         }
     }
