--- a/bench/src/main/kotlin/io/daisybend/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/BenchMain.kt
@@ -40,6 +40,7 @@
     }
     when {
         options.isHelp -> parser.printUsage(System.out)
+        options.comparesIdleRules -> compareIdleRules(selectedSites(options), selectedScenarios(options), options)
         else -> runScenarios(options)
     }
 }
--- /dev/null
+++ b/bench/src/main/kotlin/io/daisybend/bench/IdleRuleComparison.kt
@@ -0,0 +1,42 @@
+/*
+ * Runs the scenarios with several idle rules and prints what each costs: idle hours against cold requests.
+ */
+package io.daisybend.bench
+
+import io.daisybend.bench.decisions.naiveDecisions
+import io.daisybend.bench.decisions.systemDecisions
+import io.daisybend.bench.run.RunResult
+import io.daisybend.bench.site.SitePreset
+import io.daisybend.bench.trace.Scenario
+import io.daisybend.scheduling.replicas.IdleRule
+
+private val fixedTimeoutsMs = listOf(30_000L, 120_000L, 300_000L, 600_000L)
+private val reloadPrices = listOf(4.0, 10.0, 20.0, 40.0, 80.0)
+
+internal fun compareIdleRules(sites: List<SitePreset>, scenarios: List<Scenario>, options: BenchOptions) {
+    val rules = fixedTimeoutsMs.map { IdleRule.FixedTimeout(it) } +
+        reloadPrices.map { IdleRule.Adaptive(idleSecondsPerReloadSecond = it) } +
+        IdleRule.Never
+    for (site in sites) {
+        for (scenario in scenarios) {
+            println("${site.name} ${scenario.title}: idle hours, cold requests, loads, p99 of interactive first token")
+            val naive =
+                runVariant(site, scenario, options.seed, options.isShort) { naiveDecisions(site, it, options.seed) }
+            printRow("naive", naive)
+            rules.forEach { rule ->
+                val result = runVariant(site, scenario, options.seed, options.isShort) {
+                    systemDecisions(site, it, options.seed, rule)
+                }
+                printRow(rule.toString(), result)
+            }
+        }
+    }
+}
+
+private fun printRow(name: String, result: RunResult) {
+    val p99Ms = result.interactiveFirstTokenMs.getValueAtPercentile(99.0)
+    println(
+        "  %-100s %7.2f %6d %6d %7d"
+            .format(name, result.idleHours, result.counts.coldRequests, result.counts.loads, p99Ms),
+    )
+}
--- a/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
@@ -47,8 +47,7 @@
     /** Publishes ready replicas to the VMs that do not share the replicas' state. */
     fun publishReplicas() {
         models.values.forEach { readyAsSeen[it.modelId] = readyInTruth(it) }
-        val loading = { modelId: ModelId, key: LoadKey -> stateAt(key.endpointId, modelId) == ReplicaState.LOADING }
-        ownLoads.forEach { loads -> loads.entries.removeIf { !loading(it.key, it.value) } }
+        ownLoads.forEach { loads -> loads.values.removeIf { !isLoading(it) } }
     }
 
     fun review() {
@@ -106,7 +105,9 @@
 
     private fun loadInProgress(request: ActiveRequest): LoadKey? {
         val modelId = request.arrival.model.modelId
-        if (!decisions.sharesReplicaState) return ownLoads[request.vmIndex][modelId]
+        if (!decisions.sharesReplicaState) {
+            return ownLoads[request.vmIndex][modelId]?.takeIf { isLoading(it) }
+        }
         val engine = context.engines.values.firstOrNull { it.stateOf(modelId) == ReplicaState.LOADING } ?: return null
         return LoadKey(engine.spec.endpointId, modelId)
     }
@@ -157,6 +158,7 @@
         loop.after(NO_ROOM_RETRY_MS) { place(request) }
     }
 
+    /** Carries out all actions of one event before the next event, as the scheduler requires. */
     private fun handle(event: LoadEvent) {
         decisions.loads.handle(event, loop.nowMs).forEach(::carryOut)
     }
@@ -164,8 +166,8 @@
     private fun carryOut(action: LoadAction) {
         when (action) {
             is LoadAction.Start -> start(action)
-            is LoadAction.Ready -> action.waiters.forEach { sendWaiter(it, action.key) }
-            is LoadAction.Reroute -> action.waiters.forEach { waiter -> activeRequest(waiter)?.let(::place) }
+            is LoadAction.Ready -> loop.after(0) { action.waiters.forEach { sendWaiter(it, action.key) } }
+            is LoadAction.Reroute -> loop.after(0) { action.waiters.mapNotNull(::activeRequest).forEach(::place) }
             is LoadAction.Refuse -> refuse(action)
             is LoadAction.Drop -> drop(action.key)
             is LoadAction.WakeAt -> wakeAt(action.atMs)
@@ -255,6 +257,8 @@
         return (readyAsSeen[modelId].orEmpty() + listOfNotNull(own)).distinct()
     }
 
+    private fun isLoading(key: LoadKey): Boolean = stateAt(key.endpointId, key.modelId) == ReplicaState.LOADING
+
     private fun stateAt(endpointId: EndpointId, modelId: ModelId): ReplicaState? =
         context.engine(endpointId).stateOf(modelId)
 
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadScheduler.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/loads/LoadScheduler.kt
@@ -38,7 +38,10 @@
     /** The number of loads that run on a permit. */
     public val inFlightCount: Int get() = modelPermits.inFlight + adapterPermits.inFlight
 
-    /** Applies [event] at [nowMs] and returns what to do, in order; unknown keys and request ids are ignored. */
+    /**
+     * Applies [event] at [nowMs] and returns what to do, in order and before the next event; unknown keys and request
+     * ids are ignored.
+     */
     public fun handle(event: LoadEvent, nowMs: Long): List<LoadAction> {
         val actions = ArrayList<LoadAction>(2)
         when (event) {
@@ -143,10 +146,11 @@
         val probe = Load(event, Long.MAX_VALUE, nowMs)
         probe.waiters[waiter.requestId] = waiter
         probe.refreshOrder(settings.batchAgingMs)
-        val ahead = pendingModels.headSet(probe).count { it.key != event.key }
-        val startIntervalMs = MILLIS_PER_SECOND / settings.loadsPerSecond
-        val slotIntervalMs = event.expectedLoadMs.toDouble() / settings.maxConcurrentLoads
-        return (ahead * maxOf(startIntervalMs, slotIntervalMs)).toLong() + event.expectedLoadMs
+        val ahead = pendingModels.headSet(probe).filter { it.key != event.key }
+        val running = loads.values.filter { it.startedAtMs != null && it.source == WeightSource.REMOTE }
+        val workMs = ahead.sumOf { it.expectedLoadMs } + running.sumOf { it.remainingMs(nowMs) }
+        val startsMs = ahead.size * MILLIS_PER_SECOND / settings.loadsPerSecond
+        return maxOf(startsMs.toLong(), workMs / settings.maxConcurrentLoads) + event.expectedLoadMs
     }
 
     private fun unreachable(expectedWaitMs: Long, remainingMs: Long) =
