--- a/bench/src/main/kotlin/io/daisybend/bench/run/EngineFlow.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/EngineFlow.kt
@@ -25,7 +25,7 @@
     /** Puts a request whose replica is ready and in use into the endpoint's queue. */
     fun enqueue(request: ActiveRequest, endpointId: EndpointId) {
         request.endpointId = endpointId
-        context.fairShare.arrived(endpointId, request.arrival)
+        context.fairShare.arrived(endpointId, request.arrival, loop.nowMs)
         handle(endpointId, QueueEvent.Arrived(queued(request)))
     }
 
@@ -84,7 +84,7 @@
     }
 
     private fun leave(request: ActiveRequest, endpointId: EndpointId) {
-        context.fairShare.left(endpointId, request.arrival)
+        context.fairShare.left(endpointId, request.arrival, loop.nowMs)
         context.engine(endpointId).release(request.arrival.model.modelId, loop.nowMs)
         request.endpointId = null
     }
@@ -93,7 +93,7 @@
         val arrival = request.arrival
         val engine = context.engine(endpointId)
         request.isDispatched = true
-        context.fairShare.dispatched(endpointId, arrival)
+        context.fairShare.dispatched(endpointId, arrival, loop.nowMs)
         val cachedBlocks = engine.cachedBlocks(arrival.prefixHashes)
         context.counts.cachedBlocks += cachedBlocks
         publish(endpointId, engine.cachePrefixes(arrival.prefixHashes))
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/GapHistogram.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/GapHistogram.kt
@@ -29,50 +29,23 @@
         return (ending + PRIOR_ENDING) / (open + PRIOR_OPEN)
     }
 
-    /**
-     * Returns the keep-alive time that would have cost least over the observed gaps, when an unload costs
-     * [reloadPenaltyMs] of idle time.
-     */
-    fun cheapestKeepAliveMs(reloadPenaltyMs: Long): Long {
-        var bestMs = 0L
-        var bestCost = total.toDouble() * reloadPenaltyMs
-        var keptCost = 0.0
-        var remaining = total
-        for (bucket in 0 until BUCKET_COUNT) {
-            keptCost += counts[bucket] * meanMs(bucket)
-            remaining -= counts[bucket]
-            val edgeMs = upperEdgeMs(bucket)
-            val cost = keptCost + remaining * (edgeMs + reloadPenaltyMs).toDouble()
-            if (cost < bestCost) {
-                bestCost = cost
-                bestMs = edgeMs
-            }
-        }
-        return bestMs
-    }
-
     private fun halve() {
         for (bucket in counts.indices) counts[bucket] /= 2
         total = counts.sum()
     }
 
-    internal companion object {
-        private const val BUCKET_COUNT = 36
-        private const val FIRST_EDGE_MS = 1_000L
-        private const val BUCKETS_PER_DOUBLING = 2
-        private const val MAX_TOTAL = 128
-        private const val PRIOR_ENDING = 0.5
-        private const val PRIOR_OPEN = 1.0
-        private val edgesMs = LongArray(BUCKET_COUNT) { bucket ->
+    private companion object {
+        const val BUCKET_COUNT = 36
+        const val FIRST_EDGE_MS = 1_000L
+        const val BUCKETS_PER_DOUBLING = 2
+        const val MAX_TOTAL = 128
+        const val PRIOR_ENDING = 0.5
+        const val PRIOR_OPEN = 1.0
+        val edgesMs = LongArray(BUCKET_COUNT) { bucket ->
             (FIRST_EDGE_MS * Math.pow(2.0, bucket.toDouble() / BUCKETS_PER_DOUBLING)).toLong()
         }
 
-        fun upperEdgeMs(bucket: Int): Long = edgesMs[bucket]
-
-        private fun meanMs(bucket: Int): Double =
-            (edgesMs[bucket] + (if (bucket == 0) 0L else edgesMs[bucket - 1])) / 2.0
-
-        private fun bucketOf(gapMs: Long): Int {
+        fun bucketOf(gapMs: Long): Int {
             val found = edgesMs.binarySearch(gapMs)
             val bucket = if (found >= 0) found else -found - 1
             return minOf(bucket, BUCKET_COUNT - 1)
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/IdleRule.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/IdleRule.kt
@@ -1,36 +1,42 @@
 /*
- * How long an unused replica stays loaded. The adaptive rule is the ski-rental choice against the observed gaps of each
- * model: until enough gaps are known it keeps a replica for as long as a reload would cost, which is never worse than
- * twice the best choice in hindsight.
+ * How long unused replicas stay loaded. An accelerator that serves one of its models is not idle, so the adaptive rule
+ * looks at an endpoint as a whole: it keeps the replicas of an idle endpoint while the reloads that this is expected to
+ * save, at a price, outweigh the idle time. For a model with few known uses the chance of the next use falls with the
+ * time since the last, which unloads it after the time that a reload is worth.
  */
 package io.daisybend.scheduling.replicas
 
-/** Decides the keep-alive time of an unused replica. */
+/** Decides when unused replicas are unloaded. */
 public sealed interface IdleRule {
-    /** Keeps every replica for [keepAliveMs]. */
+    /** Keeps each replica for [keepAliveMs]. */
     public data class FixedTimeout(val keepAliveMs: Long) : IdleRule
 
     /** Keeps replicas until their memory is needed. */
     public data object Never : IdleRule
 
-    /** Chooses per model; a second of reload counts like [idleSecondsPerReloadSecond] of idle accelerator. */
+    /** Weighs reloads against idle time; a second of reload counts like [idleSecondsPerReloadSecond] of idle time. */
     public data class Adaptive(
-        val idleSecondsPerReloadSecond: Double = 4.0,
+        val idleSecondsPerReloadSecond: Double = 10.0,
         val minObservedGaps: Int = 6,
         val maxKeepAliveMs: Long = 1_800_000,
     ) : IdleRule
 }
 
-internal fun IdleRule.keepAliveMs(gaps: GapHistogram?, reloadMs: Long): Long =
-    when (this) {
-        is IdleRule.FixedTimeout -> keepAliveMs
-        is IdleRule.Never -> Long.MAX_VALUE
-        is IdleRule.Adaptive -> adaptiveKeepAliveMs(gaps, reloadMs)
-    }
+/** A replica without requests: the time since its last use, what a reload takes and its known gaps. */
+internal class IdleReplica(val idleMs: Long, val reloadMs: Long, val gaps: GapHistogram?)
 
-private fun IdleRule.Adaptive.adaptiveKeepAliveMs(gaps: GapHistogram?, reloadMs: Long): Long {
-    val penaltyMs = (reloadMs * idleSecondsPerReloadSecond).toLong()
-    val enough = gaps != null && gaps.total >= minObservedGaps
-    val chosenMs = if (enough) gaps.cheapestKeepAliveMs(penaltyMs) else penaltyMs
-    return minOf(chosenMs, maxKeepAliveMs)
+/** Returns whether an endpoint that holds only idle [replicas] and was last used [idleMs] ago stays loaded. */
+internal fun IdleRule.Adaptive.isWorthKeeping(replicas: List<IdleReplica>, idleMs: Long): Boolean {
+    if (idleMs >= maxKeepAliveMs) return false
+    val horizonMs = maxOf(MIN_HORIZON_MS, idleMs / 2)
+    val savedReloadMs = replicas.sumOf { it.reloadMs * useProbability(it, horizonMs) }
+    return savedReloadMs * idleSecondsPerReloadSecond >= horizonMs
 }
+
+private fun IdleRule.Adaptive.useProbability(replica: IdleReplica, horizonMs: Long): Double {
+    val gaps = replica.gaps
+    if (gaps != null && gaps.total >= minObservedGaps) return gaps.useProbability(replica.idleMs, horizonMs)
+    return horizonMs.toDouble() / (replica.idleMs + horizonMs)
+}
+
+private const val MIN_HORIZON_MS = 10_000L
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
@@ -117,16 +117,36 @@
 
     private fun unloadIdle(endpoints: List<EndpointView>, nowMs: Long): List<ReplicaAction> =
         endpoints.filter { it.acceptsOrders }.flatMap { endpoint ->
-            endpoint.replicas
-                .filter { isIdleTooLong(endpoint, it, nowMs) }
-                .map { ReplicaAction.Unload(endpoint.endpointId, it.modelId, it.version) }
+            idleReplicas(endpoint, nowMs).map { ReplicaAction.Unload(endpoint.endpointId, it.modelId, it.version) }
         }
 
-    private fun isIdleTooLong(endpoint: EndpointView, replica: ReplicaView, nowMs: Long): Boolean {
-        if (replica.state != ReplicaState.READY || replica.requestsInFlight > 0) return false
-        val reloadMs = expectedLoadMs(replica.weightsBytes, endpoint.sourceOf(replica.modelId))
-        val keepAliveMs = settings.idleRule.keepAliveMs(uses[replica.modelId]?.gaps, reloadMs)
-        return nowMs - replica.idleSinceMs >= keepAliveMs
+    /** Returns the replicas of [endpoint] that the idle rule gives up. */
+    private fun idleReplicas(endpoint: EndpointView, nowMs: Long): List<ReplicaView> {
+        val unused = endpoint.replicas.filter { it.state == ReplicaState.READY && it.requestsInFlight == 0 }
+        return when (val rule = settings.idleRule) {
+            is IdleRule.Never -> emptyList()
+            is IdleRule.FixedTimeout -> unused.filter { nowMs - it.idleSinceMs >= rule.keepAliveMs }
+            is IdleRule.Adaptive -> {
+                val isInUse = unused.size < endpoint.replicas.size
+                if (isInUse || isWorthKeeping(rule, endpoint, unused, nowMs)) emptyList() else unused
+            }
+        }
+    }
+
+    private fun isWorthKeeping(
+        rule: IdleRule.Adaptive,
+        endpoint: EndpointView,
+        unused: List<ReplicaView>,
+        nowMs: Long,
+    ): Boolean {
+        val replicas = unused.map { replica ->
+            IdleReplica(
+                idleMs = nowMs - replica.idleSinceMs,
+                reloadMs = expectedLoadMs(replica.weightsBytes, endpoint.sourceOf(replica.modelId)),
+                gaps = uses[replica.modelId]?.gaps,
+            )
+        }
+        return replicas.isEmpty() || rule.isWorthKeeping(replicas, replicas.minOf { it.idleMs })
     }
 
     private fun replaceVersion(event: ReplicaEvent.VersionChanged, nowMs: Long): List<ReplicaAction> {
