Place cold models on endpoints in use

Cause: the placement cost took any backlog in tokens as waiting time, so a cold model went to an empty accelerator whenever others had work, and each such accelerator then idled.

--- a/bench/src/main/kotlin/io/daisybend/bench/decisions/NaiveDecisions.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/decisions/NaiveDecisions.kt
@@ -93,7 +93,7 @@
     private val running = HashMap<RequestId, QueuedRequest>()
 
     override val pendingTokens: Long get() = (waiting.values + running.values).sumOf { it.costTokens }
-    override val expectedWaitMs: Long get() = 0
+    override val expectedWaitMs: Long get() = pendingTokens * 1_000 / NOMINAL_TOKENS_PER_SECOND
 
     override fun handle(event: QueueEvent, nowMs: Long): List<QueueAction> {
         val actions = ArrayList<QueueAction>()
@@ -123,6 +123,8 @@
     }
 }
 
+private const val NOMINAL_TOKENS_PER_SECOND = 4_800
+
 private class LoadOnDemand : LoadDecision {
     private val waiters = HashMap<LoadKey, ArrayList<LoadWaiter>>()
 
@@ -147,7 +149,7 @@
         if (event !is ReplicaEvent.ReplicaMissing) return emptyList()
         val fitting = event.endpoints.shuffled(random)
             .filter { evictionsFor(it, event.model.weightsBytes) != null }
-        val target = fitting.minByOrNull { it.pendingTokens + loadingBytes(it) }
+        val target = fitting.minWithOrNull(compareBy({ it.expectedWaitMs }, { loadingBytes(it) }))
             ?: return listOf(ReplicaAction.NoRoom(event.model.modelId, retryAfterMs = 1_000))
         val evictions = evictionsFor(target, event.model.weightsBytes).orEmpty()
         val source = target.cachedWeights[event.model.modelId] ?: WeightSource.REMOTE
--- a/bench/src/main/kotlin/io/daisybend/bench/run/EngineState.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/EngineState.kt
@@ -94,14 +94,14 @@
             )
         }
 
-    fun view(pendingTokens: Long, acceptsOrders: Boolean): EndpointView =
+    fun view(expectedWaitMs: Long, acceptsOrders: Boolean): EndpointView =
         EndpointView(
             endpointId = spec.endpointId,
             memoryBytes = spec.memoryBytes,
             usedBytes = replicas.values.sumOf { it.weights.weightsBytes },
             replicas = replicas.values.map { it.toView() },
             cachedWeights = onDisk.associateWith { WeightSource.DISK } + inMemory.associateWith { WeightSource.MEMORY },
-            pendingTokens = pendingTokens,
+            expectedWaitMs = expectedWaitMs,
             acceptsOrders = acceptsOrders,
         )
 
--- a/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
@@ -267,7 +267,7 @@
     private fun views(filter: (EngineState) -> Boolean): List<EndpointView> =
         context.engines.values.filter(filter).map { engine ->
             val acceptsOrders = !decisions.needsLogForLoads || context.isLogUp || engine.spec.checksFencing
-            engine.view(engineFlow.queue(engine.spec.endpointId).pendingTokens, acceptsOrders)
+            engine.view(engineFlow.queue(engine.spec.endpointId).expectedWaitMs, acceptsOrders)
         }
 
     private companion object {
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/EndpointView.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/EndpointView.kt
@@ -28,7 +28,7 @@
 /**
  * An engine with its memory, its replicas and the weights that it could load without the store. While an engine does
  * not accept orders, as in an outage of the log, nothing is loaded there and nothing that could not be reloaded is
- * unloaded.
+ * unloaded. [EndpointView.expectedWaitMs] is what a new request would wait for a slot.
  */
 public data class EndpointView(
     val endpointId: EndpointId,
@@ -36,7 +36,7 @@
     val usedBytes: Long,
     val replicas: List<ReplicaView> = emptyList(),
     val cachedWeights: Map<ModelId, WeightSource> = emptyMap(),
-    val pendingTokens: Long = 0,
+    val expectedWaitMs: Long = 0,
     val acceptsWork: Boolean = true,
     val acceptsOrders: Boolean = true,
 ) {
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
@@ -18,6 +18,7 @@
     val idleRule: IdleRule = IdleRule.Adaptive(),
     val evictionHorizonMs: Long = 600_000,
     val pressureFactor: Double = 1.5,
+    val emptyEndpointCostMs: Long = 3_000,
     val retryAfterMs: Long = 5_000,
 )
 
@@ -64,7 +65,7 @@
         return ReplicaAction.Load(endpoint.endpointId, model, source, expectedLoadMs(model.weightsBytes, source))
     }
 
-    /** Cheapest first: load time, cost of evictions and backlog; then endpoints already in use; then the hash. */
+    /** Cheapest first, ties by the hash. The cost of an empty endpoint keeps accelerators free of replicas. */
     private fun optionOrder(modelId: ModelId, candidates: List<EndpointView>): Comparator<PlacementOption> {
         val rank = HashMap<EndpointId, Int>()
         rankByRendezvous(
@@ -74,7 +75,6 @@
             },
         ).forEachIndexed { index, id -> rank[id] = index }
         return compareBy<PlacementOption> { it.costMs }
-            .thenBy { it.endpoint.replicas.isEmpty() }
             .thenBy { rank.getValue(it.endpoint.endpointId) }
     }
 
@@ -85,7 +85,8 @@
             .filter { it.state == ReplicaState.LOADING }
             .sumOf { expectedLoadMs(it.weightsBytes, endpoint.sourceOf(it.modelId)) }
         val evictionMs = evictions.sumOf { evictionCostMs(endpoint, it, nowMs) }
-        val costMs = loadMs + loadingMs + evictionMs + endpoint.pendingTokens / TOKENS_PER_COST_MS
+        val openingMs = if (endpoint.replicas.isEmpty()) settings.emptyEndpointCostMs else 0L
+        val costMs = loadMs + loadingMs + evictionMs + openingMs + endpoint.expectedWaitMs
         return PlacementOption(endpoint, evictions, costMs)
     }
 
@@ -188,7 +189,6 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
-        const val TOKENS_PER_COST_MS = 1.0
         const val UNKNOWN_USE_PROBABILITY = 0.5
     }
 }
