--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/IdleRule.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/IdleRule.kt
@@ -16,7 +16,7 @@
 
     /** Weighs reloads against idle time; a second of reload counts like [idleSecondsPerReloadSecond] of idle time. */
     public data class Adaptive(
-        val idleSecondsPerReloadSecond: Double = 10.0,
+        val idleSecondsPerReloadSecond: Double = 8.0,
         val minObservedGaps: Int = 6,
         val maxKeepAliveMs: Long = 1_800_000,
     ) : IdleRule
--- a/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
+++ b/scheduling/src/main/kotlin/io/daisybend/scheduling/replicas/ReplicaPolicy.kt
@@ -17,7 +17,7 @@
     val remoteBytesPerSecond: Long = 2_000_000_000,
     val idleRule: IdleRule = IdleRule.Adaptive(),
     val evictionHorizonMs: Long = 600_000,
-    val pressureFactor: Double = 1.5,
+    val pressureFactor: Double = 0.25,
     val emptyEndpointCostMs: Long = 3_000,
     val retryAfterMs: Long = 5_000,
 )
