--- a/bench/src/main/kotlin/io/daisybend/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/BenchMain.kt
@@ -4,6 +4,7 @@
  */
 package io.daisybend.bench
 
+import io.daisybend.bench.cost.reportDecisionCosts
 import io.daisybend.bench.decisions.Decisions
 import io.daisybend.bench.decisions.naiveDecisions
 import io.daisybend.bench.decisions.systemDecisions
@@ -40,6 +41,7 @@
     }
     when {
         options.isHelp -> parser.printUsage(System.out)
+        options.measuresDecisions -> reportDecisionCosts(options.seed, options.jsonFile)
         options.comparesIdleRules -> compareIdleRules(selectedSites(options), selectedScenarios(options), options)
         else -> runScenarios(options)
     }
--- a/bench/src/main/kotlin/io/daisybend/bench/run/EngineFlow.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/EngineFlow.kt
@@ -10,6 +10,7 @@
 import io.daisybend.scheduling.queue.QueueAction
 import io.daisybend.scheduling.queue.QueueEvent
 import io.daisybend.scheduling.queue.QueuedRequest
+import io.daisybend.scheduling.replicas.EndpointView
 import io.daisybend.scheduling.routing.RouterEvent
 
 internal class EngineFlow(private val context: RunContext, private val reroute: (ActiveRequest) -> Unit) {
@@ -29,6 +30,13 @@
         handle(endpointId, QueueEvent.Arrived(queued(request)))
     }
 
+    /** Returns the state of the engines that pass [filter], as the replica policy is told it. */
+    fun views(filter: (EngineState) -> Boolean): List<EndpointView> =
+        context.engines.values.filter(filter).map { engine ->
+            val needsLog = context.decisions.needsLogForLoads && !engine.spec.checksFencing
+            engine.view(queue(engine.spec.endpointId).expectedWaitMs, acceptsOrders = context.isLogUp || !needsLog)
+        }
+
     fun tick() = queues.keys.toList().forEach { handle(it, QueueEvent.Tick) }
 
     fun reportLoads() {
--- a/bench/src/main/kotlin/io/daisybend/bench/run/EngineState.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/EngineState.kt
@@ -79,7 +79,9 @@
 
     fun hasAdapter(adapterId: AdapterId): Boolean = adapterId in adapters
 
-    fun addAdapter(adapterId: AdapterId) = adapters.add(adapterId)
+    fun addAdapter(adapterId: AdapterId) {
+        adapters.add(adapterId)
+    }
 
     fun cachedBlocks(prefixHashes: LongArray): Int = prefixHashes.takeWhile { it in prefixes }.size
 
--- a/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/LoadFlow.kt
@@ -1,18 +1,15 @@
 /*
- * Finds a replica for a request, and gets one loaded when there is none. Where VMs share the replicas' state, they see
- * each load as soon as it is decided; otherwise each VM knows its own loads and learns of ready replicas with a lag.
+ * Finds a replica for a request, and gets one loaded when there is none.
  */
 package io.daisybend.bench.run
 
 import io.daisybend.bench.site.ModelSpec
 import io.daisybend.kernel.EndpointId
-import io.daisybend.kernel.ModelId
 import io.daisybend.scheduling.loads.LoadAction
 import io.daisybend.scheduling.loads.LoadEvent
 import io.daisybend.scheduling.loads.LoadKey
 import io.daisybend.scheduling.loads.LoadWaiter
 import io.daisybend.scheduling.loads.WeightSource
-import io.daisybend.scheduling.replicas.EndpointView
 import io.daisybend.scheduling.replicas.ReplicaAction
 import io.daisybend.scheduling.replicas.ReplicaEvent
 import io.daisybend.scheduling.replicas.ReplicaState
@@ -22,11 +19,8 @@
 internal class LoadFlow(private val context: RunContext) {
     private val loop = context.loop
     private val decisions = context.decisions
-    private val store = WeightStoreCosts(context.site.costs, loop)
-    private val models = context.site.models.associateBy { it.modelId }
-    private val readyAsSeen = HashMap<ModelId, List<EndpointId>>()
-    private val ownLoads = List(context.site.vmCount) { HashMap<ModelId, LoadKey>() }
-    private var adapterLoadsInFlight = 0
+    private val costs = LoadCosts(context)
+    private val replicas = ReplicaKnowledge(context)
     private var wakeAtMs = Long.MAX_VALUE
 
     lateinit var engineFlow: EngineFlow
@@ -34,24 +28,20 @@
     /** Sends [request] to a replica, to a load that it can share, or has a replica loaded. */
     fun place(request: ActiveRequest) {
         val model = request.arrival.model
-        if (readyInTruth(model).isEmpty()) markCold(request)
-        val ready = if (decisions.sharesReplicaState) readyInTruth(model) else readyAsSeenBy(request)
+        if (replicas.readyInTruth(model).isEmpty()) markCold(request)
+        val ready = replicas.readyFor(request)
         when {
             ready.isNotEmpty() -> route(request, ready)
-            else -> loadInProgress(request)?.let { join(request, it) } ?: propose(request)
+            else -> replicas.loadInProgress(request)?.let { join(request, it) } ?: propose(request)
         }
     }
 
     fun tick() = handle(LoadEvent.Tick)
 
-    /** Publishes ready replicas to the VMs that do not share the replicas' state. */
-    fun publishReplicas() {
-        models.values.forEach { readyAsSeen[it.modelId] = readyInTruth(it) }
-        ownLoads.forEach { loads -> loads.values.removeIf { !isLoading(it) } }
-    }
+    fun publishReplicas() = replicas.publish()
 
     fun review() {
-        val unloads = decisions.replicas.handle(ReplicaEvent.Reviewed(views { true }), loop.nowMs)
+        val unloads = decisions.replicas.handle(ReplicaEvent.Reviewed(engineFlow.views { true }), loop.nowMs)
         unloads.filterIsInstance<ReplicaAction.Unload>().forEach {
             context.counts.idleUnloads++
             context.engine(it.endpointId).unload(it.modelId, loop.nowMs)
@@ -62,8 +52,14 @@
     private fun observeWaits() {
         val waiting = context.requests.values.filter { it.endpointId != null && !it.isDispatched }
         for (model in waiting.map { it.arrival.model }.distinct()) {
-            val waitMs = readyInTruth(model).minOfOrNull { engineFlow.queue(it).expectedWaitMs } ?: continue
-            val event = ReplicaEvent.WaitObserved(model.weights, waitMs, viewsOf(model))
+            val waitMs = replicas.readyInTruth(model).minOfOrNull { engineFlow.queue(it).expectedWaitMs } ?: continue
+            val event = ReplicaEvent.WaitObserved(
+                model.weights,
+                waitMs,
+                engineFlow.views {
+                    it.spec.pool == model.pool
+                },
+            )
             carryOut(decisions.replicas.handle(event, loop.nowMs), model, waiter = null)
         }
     }
@@ -90,8 +86,8 @@
 
     private fun send(request: ActiveRequest, endpointId: EndpointId) {
         val modelId = request.arrival.model.modelId
-        if (stateAt(endpointId, modelId) != ReplicaState.READY) {
-            readyAsSeen.computeIfPresent(modelId) { _, seen -> seen - endpointId }
+        if (replicas.stateAt(endpointId, modelId) != ReplicaState.READY) {
+            replicas.forget(endpointId, modelId)
             return place(request)
         }
         val engine = context.engine(endpointId)
@@ -100,28 +96,19 @@
         if (adapterId == null || engine.hasAdapter(adapterId)) return engineFlow.enqueue(request, endpointId)
         val key = LoadKey(endpointId, modelId, adapterId)
         val adapterMs = context.site.costs.adapterLoadMs
-        handle(LoadEvent.Requested(key, WeightSource.REMOTE, adapterMs, waiterOf(request)))
-    }
-
-    private fun loadInProgress(request: ActiveRequest): LoadKey? {
-        val modelId = request.arrival.model.modelId
-        if (!decisions.sharesReplicaState) {
-            return ownLoads[request.vmIndex][modelId]?.takeIf { isLoading(it) }
-        }
-        val engine = context.engines.values.firstOrNull { it.stateOf(modelId) == ReplicaState.LOADING } ?: return null
-        return LoadKey(engine.spec.endpointId, modelId)
+        handle(LoadEvent.Requested(key, WeightSource.REMOTE, adapterMs, request.toWaiter()))
     }
 
     private fun join(request: ActiveRequest, key: LoadKey) {
-        if (stateAt(key.endpointId, key.modelId) == ReplicaState.READY) return send(request, key.endpointId)
-        ownLoads[request.vmIndex][key.modelId] = key
+        if (replicas.stateAt(key.endpointId, key.modelId) == ReplicaState.READY) return send(request, key.endpointId)
+        replicas.remember(request.vmIndex, key)
         val source = context.engine(key.endpointId).sourceOf(key.modelId)
-        handle(LoadEvent.Requested(key, source, fullSpeedMs(key.modelId, source), waiterOf(request)))
+        handle(LoadEvent.Requested(key, source, costs.fullSpeedMs(key.modelId, source), request.toWaiter()))
     }
 
     private fun propose(request: ActiveRequest) {
         val model = request.arrival.model
-        val event = ReplicaEvent.ReplicaMissing(model.weights, viewsOf(model))
+        val event = ReplicaEvent.ReplicaMissing(model.weights, engineFlow.views { it.spec.pool == model.pool })
         carryOut(decisions.replicas.handle(event, loop.nowMs), model, request)
     }
 
@@ -141,13 +128,13 @@
 
     private fun load(action: ReplicaAction.Load, model: ModelSpec, waiter: ActiveRequest?) {
         val key = LoadKey(action.endpointId, model.modelId)
-        if (stateAt(key.endpointId, key.modelId) == null) reserve(key, model)
+        if (replicas.stateAt(key.endpointId, key.modelId) == null) reserve(key, model)
         if (waiter != null) return join(waiter, key)
         handle(LoadEvent.Requested(key, action.source, action.expectedLoadMs, waiter = null))
     }
 
     private fun reserve(key: LoadKey, model: ModelSpec) {
-        if (context.engines.values.any { it.stateOf(model.modelId) == ReplicaState.LOADING }) {
+        if (replicas.isLoadingAnywhere(model.modelId)) {
             context.counts.duplicateLoads++
         }
         context.engine(key.endpointId).reserve(model.weights, loop.nowMs)
@@ -176,32 +163,17 @@
 
     private fun start(action: LoadAction.Start) {
         val key = action.key
-        if (key.adapterId != null) return startAdapter(key)
-        context.counts.loads++
-        val logMs = if (decisions.needsLogForLoads) context.site.costs.logAppendMs else 0
-        val onDone = { finishLoad(key) }
-        when (action.source) {
-            WeightSource.REMOTE -> loop.after(logMs) { store.load(weightsBytes(key.modelId), onDone) }
-            else -> loop.after(logMs + fullSpeedMs(key.modelId, action.source), onDone)
-        }
+        if (key.adapterId == null) context.counts.loads++
+        costs.load(key, action.source) { finishLoad(key) }
     }
 
     private fun finishLoad(key: LoadKey) {
-        context.engine(key.endpointId).loaded(key.modelId, loop.nowMs)
+        val engine = context.engine(key.endpointId)
+        val adapterId = key.adapterId
+        if (adapterId == null) engine.loaded(key.modelId, loop.nowMs) else engine.addAdapter(adapterId)
         handle(LoadEvent.Finished(key))
     }
 
-    private fun startAdapter(key: LoadKey) {
-        adapterLoadsInFlight++
-        val costs = context.site.costs
-        val slowdown = maxOf(1.0, adapterLoadsInFlight.toDouble() / costs.maxConcurrentAdapters)
-        loop.after((costs.adapterLoadMs * slowdown).toLong()) {
-            adapterLoadsInFlight--
-            key.adapterId?.let { context.engine(key.endpointId).addAdapter(it) }
-            handle(LoadEvent.Finished(key))
-        }
-    }
-
     private fun sendWaiter(waiter: LoadWaiter, key: LoadKey) {
         val request = activeRequest(waiter) ?: return
         if (key.adapterId == null) send(request, key.endpointId) else engineFlow.enqueue(request, key.endpointId)
@@ -229,48 +201,9 @@
 
     private fun activeRequest(waiter: LoadWaiter): ActiveRequest? = context.requests[waiter.requestId]
 
-    private fun waiterOf(request: ActiveRequest) =
-        LoadWaiter(request.arrival.requestId, request.arrival.priorityClass, request.arrival.deadlineMs)
-
-    private fun fullSpeedMs(modelId: ModelId, source: WeightSource): Long {
-        val costs = context.site.costs
-        val bytesPerSecond = when (source) {
-            WeightSource.MEMORY -> costs.memoryBytesPerSecond
-            WeightSource.DISK -> costs.diskBytesPerSecond
-            WeightSource.REMOTE -> costs.remoteBytesPerSecond
-        }
-        return weightsBytes(modelId) * 1_000 / bytesPerSecond
-    }
-
-    private fun weightsBytes(modelId: ModelId): Long = models.getValue(modelId).weights.weightsBytes
-
-    private fun readyInTruth(model: ModelSpec): List<EndpointId> =
-        context.engines.values
-            .filter { it.stateOf(model.modelId) == ReplicaState.READY }
-            .map { it.spec.endpointId }
-
-    private fun readyAsSeenBy(request: ActiveRequest): List<EndpointId> {
-        val modelId = request.arrival.model.modelId
-        val own = ownLoads[request.vmIndex][modelId]
-            ?.endpointId
-            ?.takeIf { stateAt(it, modelId) == ReplicaState.READY }
-        return (readyAsSeen[modelId].orEmpty() + listOfNotNull(own)).distinct()
-    }
-
-    private fun isLoading(key: LoadKey): Boolean = stateAt(key.endpointId, key.modelId) == ReplicaState.LOADING
-
-    private fun stateAt(endpointId: EndpointId, modelId: ModelId): ReplicaState? =
-        context.engine(endpointId).stateOf(modelId)
-
-    private fun viewsOf(model: ModelSpec): List<EndpointView> = views { it.spec.pool == model.pool }
-
-    private fun views(filter: (EngineState) -> Boolean): List<EndpointView> =
-        context.engines.values.filter(filter).map { engine ->
-            val acceptsOrders = !decisions.needsLogForLoads || context.isLogUp || engine.spec.checksFencing
-            engine.view(engineFlow.queue(engine.spec.endpointId).expectedWaitMs, acceptsOrders)
-        }
-
     private companion object {
         const val NO_ROOM_RETRY_MS = 250L
     }
 }
+
+private fun ActiveRequest.toWaiter() = LoadWaiter(arrival.requestId, arrival.priorityClass, arrival.deadlineMs)
