--- a/bench/src/main/kotlin/io/daisybend/bench/run/EventLoop.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/run/EventLoop.kt
@@ -1,11 +1,11 @@
 /*
- * A list of future steps, carried out in the order of their times.
+ * A list of future steps, carried out in the order of their times. Periodic work ends at [EventLoop.endsAtMs].
  */
 package io.daisybend.bench.run
 
 import java.util.PriorityQueue
 
-internal class EventLoop {
+internal class EventLoop(val endsAtMs: Long) {
     private class Step(val atMs: Long, val sequence: Long, val run: () -> Unit)
 
     private val steps = PriorityQueue<Step>(compareBy({ it.atMs }, { it.sequence }))
