--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -22,13 +22,13 @@
 import io.daisybend.daemon.configuration.ConfigurationRoutes
 import io.daisybend.daemon.configuration.FollowedConfiguration
 import io.daisybend.daemon.configuration.SnapshotTask
+import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.dispatch.AtMostOnceServiceDispatcher
 import io.daisybend.daemon.dispatch.DISPATCH_CHANNEL
 import io.daisybend.daemon.dispatch.IdempotentCalls
 import io.daisybend.daemon.dispatch.ResumingModelDispatcher
 import io.daisybend.daemon.dispatch.dispatchOnce
 import io.daisybend.daemon.dispatch.dispatchPeers
-import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
@@ -38,6 +38,8 @@
 import io.daisybend.daemon.lifecycle.LifecyclePhase
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
+import io.daisybend.daemon.scheduling.EndpointQueues
+import io.daisybend.daemon.scheduling.QueuedModelAccess
 import io.daisybend.daemon.thin.ListedAddresses
 import io.daisybend.daemon.thin.LocalModelAccess
 import io.daisybend.daemon.thin.LocalRateLimiter
@@ -161,7 +163,9 @@
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
-    private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val endpointQueues = EndpointQueues(configuration, clock)
+    private val modelAccess =
+        QueuedModelAccess(LocalModelAccess(configuration, ports.engines, timeline), endpointQueues)
     private val idempotentCalls = IdempotentCalls(
         incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
         log = ports.log,
@@ -213,6 +217,7 @@
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { idempotentCalls.keepTime() }
         scope.launch { addresses.follow() }
+        scope.launch { endpointQueues.follow() }
         configuration.start()
         scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
         operators.start()
