--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -44,6 +44,8 @@
 import io.daisybend.daemon.rates.RatePorts
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
+import io.daisybend.daemon.scheduling.EndpointQueues
+import io.daisybend.daemon.scheduling.QueuedModelAccess
 import io.daisybend.dispatch.GatewayIncarnation
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
@@ -174,6 +176,8 @@
         ModelPlacement(vmId, ports, peers, configuration, { addresses.liveVms() }, clock, timeline, scope)
     private val ratePorts = RatePorts(vmId, ports.log, peers, configuration, addresses::liveVms, clock)
     private val rates: FleetRateLimiter = FleetRateLimiter(ratePorts, scope)
+    private val endpointQueues = EndpointQueues(configuration, clock)
+    private val modelAccess = QueuedModelAccess(placement.access, endpointQueues)
     private val idempotentCalls = IdempotentCalls(
         incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
         log = ports.log,
@@ -188,7 +192,7 @@
         steps = RequestSteps(
             authenticator = configuration,
             configuration = configuration,
-            models = ResumingModelDispatcher(placement.access, ports.engines, clock, timeline, scope),
+            models = ResumingModelDispatcher(modelAccess, ports.engines, clock, timeline, scope),
             rates = rates,
             services = AtMostOnceServiceDispatcher(configuration, ports.services, idempotentCalls),
             addresses = addresses,
@@ -228,6 +232,7 @@
         scope.launch { addresses.follow() }
         rates.registerMetrics(metrics)
         rates.start()
+        scope.launch { endpointQueues.follow() }
         configuration.start()
         scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
         placement.start()
