Encode the path of calls to plain services

Cause: the path reaches HttpServiceClient decoded and was written as it was, so a caller could add headers, or a second request, to what the service sees.

Ruled out: refusing such paths, since a decoded space is legitimate.

Change: the path is percent-encoded before it is written; a test sends one with line breaks and reads what arrives. Found by reading, the test was not run against the old code.

--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -22,13 +22,13 @@
 import io.daisybend.daemon.configuration.ConfigurationRoutes
 import io.daisybend.daemon.configuration.FollowedConfiguration
 import io.daisybend.daemon.configuration.SnapshotTask
+import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.dispatch.AtMostOnceServiceDispatcher
 import io.daisybend.daemon.dispatch.DISPATCH_CHANNEL
 import io.daisybend.daemon.dispatch.IdempotentCalls
 import io.daisybend.daemon.dispatch.ResumingModelDispatcher
 import io.daisybend.daemon.dispatch.dispatchOnce
 import io.daisybend.daemon.dispatch.dispatchPeers
-import io.daisybend.daemon.configuration.registerConfigurationMetrics
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
--- a/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/HttpServiceClient.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/HttpServiceClient.kt
@@ -1,8 +1,8 @@
 /*
  * Calls plain services over HTTP, each call over a connection of its own, so that it is known at every step whether a
  * byte can have reached the service. The outgoing request is built anew from the call's own fields, so no header of
- * the caller, and no key, can reach the service. An answer counts as whole only when it ends where its length or its
- * last chunk says.
+ * the caller, and no key, can reach the service; the path is encoded, so it cannot carry headers either. An answer
+ * counts as whole only when it ends where its length or its last chunk says.
  *
  * A service may state in the header `X-Execution-Status: not_run` that it refused a call before running it.
  */
@@ -24,6 +24,7 @@
 import io.ktor.http.cio.RequestResponseBuilder
 import io.ktor.http.cio.Response
 import io.ktor.http.cio.parseResponse
+import io.ktor.http.encodeURLPath
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
@@ -85,7 +86,7 @@
 
         private suspend fun write(opened: Socket) {
             val builder = RequestResponseBuilder()
-            builder.requestLine(HttpMethod.parse(call.method), call.path, HTTP_VERSION)
+            builder.requestLine(HttpMethod.parse(call.method), call.path.encodeURLPath(), HTTP_VERSION)
             builder.headerLine("Host", endpoint.address)
             builder.headerLine(REQUEST_ID_HEADER, call.requestId.value)
             call.caller?.let { builder.headerLine(TEAM_HEADER, it.teamId.value) }
--- a/daemon/src/test/kotlin/io/daisybend/daemon/endpoint/HttpServiceClientTest.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/endpoint/HttpServiceClientTest.kt
@@ -16,6 +16,7 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
 import java.net.ServerSocket
 
 private const val WHOLE = "HTTP/1.1 201 Created\r\nContent-Length: 5\r\nContent-Type: text/plain\r\n\r\nroom7"
@@ -23,7 +24,11 @@
 class HttpServiceClientTest : FunSpec({
     val client = HttpServiceClient()
 
-    suspend fun call(address: String, timeoutMs: Long = 5_000L): Result<ServiceAnswer, ServiceFailure> {
+    suspend fun call(
+        address: String,
+        timeoutMs: Long = 5_000L,
+        path: String = "/reservations",
+    ): Result<ServiceAnswer, ServiceFailure> {
         val endpointId = EndpointId("booking")
         val endpoint = EndpointSpec(endpointId, EndpointKind.SERVICE, address, FailureDomainId("buda"))
         val call = ServiceCall(
@@ -31,7 +36,7 @@
             caller = null,
             route = RouteSpec("booking", listOf(endpointId)),
             method = "POST",
-            path = "/reservations",
+            path = path,
             contentType = "application/json",
             body = "{}".encodeToByteArray(),
             idempotencyKey = null,
@@ -112,6 +117,14 @@
         failure.getError().shouldBeInstanceOf<ServiceFailure.NotSent>()
     }
 
+    test("a path cannot carry headers to the service") {
+        val head = CompletableDeferred<String>()
+        ScriptedServer { head.complete(readHead()) }.use { server ->
+            call(server.address, path = "/a\r\nX-Team-Id: other\r\n\r\nPOST /b")
+        }
+        head.await().lines().first() shouldBe "POST /a%0D%0AX-Team-Id:%20other%0D%0A%0D%0APOST%20/b HTTP/1.1"
+    }
+
     test("whole answers arrive with their length or in chunks") {
         val plain = callScripted {
             readRequest()
