--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -36,11 +36,14 @@
 import io.daisybend.daemon.gateway.GatewayLimits
 import io.daisybend.daemon.lifecycle.Lifecycle
 import io.daisybend.daemon.lifecycle.LifecyclePhase
+import io.daisybend.daemon.membership.FollowedVms
+import io.daisybend.daemon.membership.StopRunner
+import io.daisybend.daemon.membership.StopSteps
+import io.daisybend.daemon.placement.ModelPlacement
+import io.daisybend.daemon.rates.FleetRateLimiter
+import io.daisybend.daemon.rates.RatePorts
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
-import io.daisybend.daemon.thin.ListedAddresses
-import io.daisybend.daemon.thin.LocalModelAccess
-import io.daisybend.daemon.thin.LocalRateLimiter
 import io.daisybend.dispatch.GatewayIncarnation
 import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
@@ -55,6 +58,7 @@
 import io.daisybend.kernel.plugin.PortRegistry
 import io.daisybend.kernel.plugin.UnknownImplementation
 import io.daisybend.kernel.settings.Settings
+import io.daisybend.membership.StopSettings
 import io.daisybend.transport.PeerNetwork
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
@@ -146,7 +150,7 @@
     secrets: DaemonSecrets,
     private val registry: PortRegistry,
     private val ports: DaemonPorts,
-    clock: MillisClock = SystemMillisClock,
+    private val clock: MillisClock = SystemMillisClock,
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val vmId = VmId(settings[DaemonKeys.vmId])
@@ -155,13 +159,21 @@
     private val metrics = PrometheusRegistry()
     private val stopping = Mutex()
 
-    private val addresses =
-        ListedAddresses(ports.directory, settings[DaemonKeys.addressLifetime], ownEntry = ::ownEntry)
+    private val addresses = FollowedVms(
+        directory = ports.directory,
+        lifetimeMs = settings[DaemonKeys.addressLifetime],
+        clock = clock,
+        ownEntry = ::ownEntry,
+        seatHolders = { rates.holdersOf(it) },
+    )
     private val peers = PeerNetwork(vmId, secrets.peerSecret, addresses)
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
-    private val modelAccess = LocalModelAccess(configuration, ports.engines, timeline)
+    private val placement =
+        ModelPlacement(vmId, ports, peers, configuration, { addresses.liveVms() }, clock, timeline, scope)
+    private val ratePorts = RatePorts(vmId, ports.log, peers, configuration, addresses::liveVms, clock)
+    private val rates: FleetRateLimiter = FleetRateLimiter(ratePorts, scope)
     private val idempotentCalls = IdempotentCalls(
         incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
         log = ports.log,
@@ -176,8 +188,8 @@
         steps = RequestSteps(
             authenticator = configuration,
             configuration = configuration,
-            rates = LocalRateLimiter,
-            models = ResumingModelDispatcher(modelAccess, ports.engines, clock, timeline, scope),
+            models = ResumingModelDispatcher(placement.access, ports.engines, clock, timeline, scope),
+            rates = rates,
             services = AtMostOnceServiceDispatcher(configuration, ports.services, idempotentCalls),
             addresses = addresses,
         ),
@@ -198,7 +210,7 @@
             lifecycle = lifecycle,
             metrics = metrics,
             routes = listOf(ConfigurationRoutes(configuration, submission), AddressRoute(addresses), stopRoute()),
-            statusSources = listOf(StatusSource { vmStatus() }),
+            statusSources = listOf(StatusSource { vmStatus() }, placement.status, StatusSource { rates.status() }),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
     )
@@ -214,8 +226,11 @@
         peers.listen(settings[DaemonKeys.peerListen])
         scope.launch { idempotentCalls.keepTime() }
         scope.launch { addresses.follow() }
+        rates.registerMetrics(metrics)
+        rates.start()
         configuration.start()
         scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
+        placement.start()
         operators.start()
         callerInterface.start()
         lifecycle.advanceTo(LifecyclePhase.SERVING)
@@ -228,10 +243,8 @@
         if (lifecycle.phase == LifecyclePhase.STOPPED) return
         lifecycle.advanceTo(LifecyclePhase.LEAVING)
         timeline.record("daemon-leaving")
-        ports.directory.register(ownEntry())
-        delay(settings[DaemonKeys.addressLifetime])
-        val idle = lifecycle.awaitIdle(settings[DaemonKeys.stopTimeout])
-        idempotentCalls.awaitRecorded(RECORDING_MS)
+        stopRunner().run()
+        val idle = lifecycle.requestsInProgress == 0
         lifecycle.advanceTo(LifecyclePhase.STOPPED)
         ports.directory.remove(vmId)
         timeline.record("daemon-stopped", detail = if (idle) "idle" else "${lifecycle.requestsInProgress} requests cut")
@@ -242,6 +255,24 @@
         scope.cancel()
     }
 
+    private fun stopRunner() = StopRunner(
+        settings = StopSettings(
+            answerLifetimeMs = settings[DaemonKeys.addressLifetime],
+            listLagMs = settings[DaemonKeys.listLag],
+            longestFinishMs = settings[DaemonKeys.stopTimeout],
+        ),
+        steps = StopSteps(
+            registerAsLeaving = { addresses.register() },
+            release = {
+                idempotentCalls.awaitRecorded(RECORDING_MS)
+                rates.release(RELEASE_TIMEOUT_MS)
+            },
+        ),
+        lifecycle = lifecycle,
+        clock = clock,
+        timeline = timeline,
+    )
+
     private fun stopRoute() = OperatorRoutes { route ->
         route.post("/drain") {
             scope.launch(Dispatchers.IO) { stop() }
@@ -285,6 +316,7 @@
 
     private companion object {
         const val STOP_MS = 500L
+        const val RELEASE_TIMEOUT_MS = 5_000L
         const val RECORDING_MS = 5_000L
         const val STOP_POLL_MS = 50L
         val log = LoggerFactory.getLogger(Daemon::class.java)
