--- a/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationChange.kt
+++ b/configuration/src/main/kotlin/io/daisybend/configuration/ConfigurationChange.kt
@@ -135,8 +135,11 @@
     @Serializable
     @SerialName("keyIdUsed")
     public data class KeyIdUsed(val keyId: KeyId, val withdrawn: Boolean) : ChangeRefusal {
-        override val message: String get() =
-            "expected an unused key identifier, '$keyId' ${if (withdrawn) "was withdrawn" else "is in use"}"
+        override val message: String get() = if (withdrawn) {
+            "expected the identifier of a key that was not withdrawn, came '$keyId'"
+        } else {
+            "expected an unused key identifier, '$keyId' is in use"
+        }
     }
 
     /** The staged content is not whole or not what was announced. */
