--- a/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
@@ -106,10 +106,12 @@
         checks.refused("request with a withdrawn key", asExpected, "${refusal.status}")
     }
 
+    /** Asks until a request is refused unrun; one that the withdrawal cuts says truthfully that it may have run. */
     private suspend fun awaitRefusal(): HttpResponse {
         repeat(MAX_POLLS) {
             val response = chat(site.callerAddresses[1], "order-drafts", "Hello?", withdrawnKey)
-            if (response.status.value != 200) return response
+            val refusedUnrun = response.headers["X-Execution-Status"] == "not_run"
+            if (response.status.value != 200 && refusedUnrun) return response
             delay(POLL_INTERVAL_MS)
         }
         return chat(site.callerAddresses[1], "order-drafts", "Hello?", withdrawnKey)
--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -172,8 +172,17 @@
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
-    private val placement =
-        ModelPlacement(vmId, ports, peers, configuration, { addresses.liveVms() }, clock, timeline, scope)
+    private val placement = ModelPlacement(
+        vmId = vmId,
+        ports = ports,
+        peers = peers,
+        configuration = configuration,
+        liveVms = { addresses.liveVms() },
+        clock = clock,
+        timeline = timeline,
+        scope = scope,
+        minIdleMs = settings[DaemonKeys.minIdle],
+    )
     private val ratePorts = RatePorts(vmId, ports.log, peers, configuration, addresses::liveVms, clock)
     private val rates: FleetRateLimiter = FleetRateLimiter(ratePorts, scope)
     private val endpointQueues = EndpointQueues(configuration, clock)
--- a/daemon/src/main/kotlin/io/daisybend/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/DaemonSettings.kt
@@ -153,6 +153,15 @@
         default = "2s",
     )
 
+    /** How long an endpoint without requests keeps its replicas at least. */
+    public val minIdle: SettingKey<Long> = SettingKey(
+        "endpoints",
+        "min_idle",
+        SettingType.DurationMs(100, 24 * ONE_HOUR_MS),
+        "Shortest time without requests before an endpoint's replicas are unloaded.",
+        default = "30s",
+    )
+
     /** How long a stop waits for requests in progress. */
     public val stopTimeout: SettingKey<Long> = SettingKey(
         "lifecycle",
@@ -164,9 +173,29 @@
 
     /** All keys, in the order of the settings page. */
     public val all: List<SettingKey<*>> = listOf(
-        vmId, failureDomain, region, callerListen, callerProtocol, maxBody, maxRequests, defaultTimeout, maxTimeout,
-        addressLifetime, peerListen, peerSecretFile, operatorListen, operatorTokenFile, platformProtocol,
-        platformAddress, platformTimeout, listLag, engineProtocol, serviceProtocol, controlTimeout, stopTimeout,
+        vmId,
+        failureDomain,
+        region,
+        callerListen,
+        callerProtocol,
+        maxBody,
+        maxRequests,
+        defaultTimeout,
+        maxTimeout,
+        addressLifetime,
+        peerListen,
+        peerSecretFile,
+        operatorListen,
+        operatorTokenFile,
+        platformProtocol,
+        platformAddress,
+        platformTimeout,
+        listLag,
+        engineProtocol,
+        serviceProtocol,
+        controlTimeout,
+        minIdle,
+        stopTimeout,
     )
 }
 
--- a/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/EngineClient.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/endpoint/EngineClient.kt
@@ -94,6 +94,7 @@
     val loadingOrderIds: List<String>,
     val completedOrderIds: List<String>,
     val running: Int,
+    val requestsStarted: Long = 0,
 )
 
 /** Why an engine did not answer as asked. */
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/ModelPlacement.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/ModelPlacement.kt
@@ -25,11 +25,23 @@
     clock: MillisClock,
     timeline: Timeline,
     private val scope: CoroutineScope,
+    minIdleMs: Long,
 ) {
     private val self = OwnerId(vmId, incarnation = UUID.randomUUID().toString())
     private val usage = ReplicaUsage(clock)
-    private val runtime =
-        PlacementRuntime(self, ports.log, ports.engines, configuration, liveVms, usage, clock, timeline, scope)
+    private val idleUnloads = IdleUnloads(minIdleMs, clock)
+    private val runtime = PlacementRuntime(
+        self = self,
+        log = ports.log,
+        engineClient = ports.engines,
+        configuration = configuration,
+        liveVms = liveVms,
+        usage = usage,
+        idleUnloads = idleUnloads,
+        clock = clock,
+        timeline = timeline,
+        scope = scope,
+    )
     private val requests = ReplicaRequests(vmId, runtime, peers, usage, clock)
 
     val access: ModelAccess = PlacedModelAccess(configuration, runtime, requests, usage, clock)
@@ -39,5 +51,6 @@
         scope.launch { runtime.follow() }
         scope.launch { runtime.plan() }
         scope.launch { runtime.tick() }
+        scope.launch { runtime.unloadIdle() }
     }
 }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementEngines.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementEngines.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.mapBoth
+import com.github.michaelbull.result.onSuccess
 import io.daisybend.configuration.EndpointSpec
 import io.daisybend.daemon.endpoint.EngineClient
 import io.daisybend.daemon.endpoint.EngineFailure
@@ -40,11 +41,14 @@
     private val client: EngineClient,
     private val configuration: ConfigurationView,
     private val ledger: PlacementLedger,
+    private val idleUnloads: IdleUnloads,
 ) {
     /** Raises the engine's fencing number when [raiseFence] is set, then asks for its state. */
     suspend fun state(endpoint: EndpointSpec, raiseFence: Long?): StateAnswer =
         if (raiseFence == null) {
-            client.state(endpoint).mapBoth({ reported(endpoint, it) }, { StateAnswer.NoAnswer })
+            client.state(endpoint)
+                .onSuccess { idleUnloads.observe(endpoint.endpointId, it) }
+                .mapBoth({ reported(endpoint, it) }, { StateAnswer.NoAnswer })
         } else {
             raiseAndRead(endpoint, raiseFence)
         }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacementRuntime.kt
@@ -23,6 +23,7 @@
 import io.daisybend.placement.FollowerRead
 import io.daisybend.placement.LedgerFollower
 import io.daisybend.placement.OrderAnswer
+import io.daisybend.placement.OrderKind
 import io.daisybend.placement.OwnerAction
 import io.daisybend.placement.OwnerEvent
 import io.daisybend.placement.OwnerId
@@ -56,12 +57,13 @@
     private val configuration: ConfigurationView,
     private val liveVms: LiveVms,
     private val usage: ReplicaUsage,
+    private val idleUnloads: IdleUnloads,
     private val clock: MillisClock,
     private val timeline: Timeline,
     private val scope: CoroutineScope,
 ) {
     private val follower = LedgerFollower()
-    private val engines = PlacementEngines(engineClient, configuration, follower.ledger)
+    private val engines = PlacementEngines(engineClient, configuration, follower.ledger, idleUnloads)
     private val owners = EndpointOwners(self, follower.ledger, clock, ::perform)
     private val planner = OwnershipPlanner(self)
     private val readNow = Channel<Unit>(Channel.CONFLATED)
@@ -103,6 +105,16 @@
         }
     }
 
+    /** Unloads the replicas of idle endpoints until it is cancelled. */
+    suspend fun unloadIdle() {
+        while (true) {
+            delay(IDLE_CHECK_INTERVAL_MS)
+            owners.endpointIds().filter { owners.isReady(it) }.forEach { endpointId ->
+                idleUnloads.due(endpointId, ledger, usage).forEach { owners.handle(endpointId, it) }
+            }
+        }
+    }
+
     private fun planOwnership() {
         val vms = liveVms.current()
         val endpoints = configuration.current()?.manifest?.endpoints.orEmpty()
@@ -184,7 +196,11 @@
         val kind = order.kind.name.lowercase()
         noteArtifact("$kind-ordered", endpointId, order.artifact, "fencing number ${order.fencingNumber}")
         val endpoint = configuration.current()?.endpoint(endpointId)
+        val sentAtMs = clock.nowMs()
         val answer = endpoint?.let { engines.order(it, order) } ?: OrderAnswer.NotSent
+        if (order.kind == OrderKind.LOAD && answer is OrderAnswer.Accepted) {
+            idleUnloads.loaded(order.artifact, clock.nowMs() - sentAtMs)
+        }
         noteArtifact("$kind-answered", endpointId, order.artifact, "$answer")
         owners.handle(endpointId, OwnerEvent.OrderAnswered(order.orderId, answer))
     }
@@ -226,6 +242,7 @@
         const val READ_INTERVAL_MS = 500L
         const val PLAN_INTERVAL_MS = 500L
         const val TICK_INTERVAL_MS = 100L
+        const val IDLE_CHECK_INTERVAL_MS = 1_000L
         const val MAX_RECORDS = 500
         const val SNAPSHOT_INTERVAL_RECORDS = 5_000L
     }
--- a/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
@@ -70,6 +70,7 @@
     val engines: List<StandIn>,
     val service: StandIn,
     private val addressLifetimeMs: Long,
+    private val extraSettings: String,
 ) {
     val client = HttpClient(CIO) {
         expectSuccess = false
@@ -97,7 +98,7 @@
             [platform]
             address = ${platform.address}
             list_lag = 600ms
-        """.trimIndent()
+        """.trimIndent() + "\n" + extraSettings
         val settings = parseSettings("$vmId.ini", ini.toByteArray(), DaemonKeys.all).getOrElse { error(it.message) }
         val registry = PortRegistry.load()
         val httpClient = daemonHttpClient()
@@ -206,13 +207,14 @@
             vmCount: Int = 1,
             engineCount: Int = 2,
             addressLifetimeMs: Long = 100,
+            extraSettings: String = "",
             body: suspend (TestSite) -> Unit,
         ) {
             val platform = StandIn.platform(freePort()).start()
             val engines = List(engineCount) { index ->
                 StandIn.engine(freePort(), EngineOptions(ENGINE_BYTES, checksFencing = index % 2 == 0)).start()
             }
-            val site = TestSite(platform, engines, StandIn.service(freePort()).start(), addressLifetimeMs)
+            val site = TestSite(platform, engines, StandIn.service(freePort()).start(), addressLifetimeMs, extraSettings)
             try {
                 repeat(vmCount) { site.startVm("vm-$it") }
                 eventually { site.apply(site.manifest()).status.value == 200 }
--- a/standins/src/main/kotlin/io/daisybend/standins/engine/EngineMemory.kt
+++ b/standins/src/main/kotlin/io/daisybend/standins/engine/EngineMemory.kt
@@ -64,7 +64,7 @@
     fun holds(itemId: String): Boolean = itemId in loaded
 
     @Synchronized
-    fun state(running: Int) = EngineState(
+    fun state(running: Int, requestsStarted: Long) = EngineState(
         bootId = bootId,
         fence = fence,
         memoryBytes = memoryBytes,
@@ -75,6 +75,7 @@
         loadingOrderIds = loading.keys.toList(),
         completedOrderIds = completed.toList(),
         running = running,
+        requestsStarted = requestsStarted,
         loadsStarted = loadsStarted,
     )
 
--- a/standins/src/main/kotlin/io/daisybend/standins/engine/EngineMessages.kt
+++ b/standins/src/main/kotlin/io/daisybend/standins/engine/EngineMessages.kt
@@ -56,6 +56,7 @@
     val loadingOrderIds: List<String>,
     val completedOrderIds: List<String>,
     val running: Int,
+    val requestsStarted: Long,
     val loadsStarted: Int,
 )
 
--- a/standins/src/main/kotlin/io/daisybend/standins/engine/EngineStandIn.kt
+++ b/standins/src/main/kotlin/io/daisybend/standins/engine/EngineStandIn.kt
@@ -29,6 +29,7 @@
 import java.net.http.HttpResponse
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 
 /** A completion as the engine is asked for it. */
@@ -62,6 +63,7 @@
     private val cacheEvents = CacheEventLog()
     private val switches = AtomicReference(EngineSwitches())
     private val running = AtomicInteger()
+    private val requestsStarted = AtomicLong()
     private val cancelled = ConcurrentHashMap.newKeySet<String>()
     private val seen = ArrayList<String>()
     private val storeClient = HttpClient.newHttpClient()
@@ -87,9 +89,9 @@
     private fun Route.controlRoutes() {
         get("/control/state") {
             hangIfSwitched()
-            call.respond(memory.state(running.get()))
+            call.respond(engineState())
         }
-        get("/control/load") { call.respond(reports.delayed(memory.state(running.get()), switches.get().reportLagMs)) }
+        get("/control/load") { call.respond(reports.delayed(engineState(), switches.get().reportLagMs)) }
         get("/control/cache-events") {
             val from = call.request.queryParameters["from"]?.toLongOrNull() ?: 0
             call.respond(cacheEvents.visible(from, switches.get().cacheEventLagMs))
@@ -98,6 +100,8 @@
         post("/control/orders") { call.answerOrder(execute(call.receive())) }
     }
 
+    private fun engineState() = memory.state(running.get(), requestsStarted.get())
+
     private suspend fun ApplicationCall.answerOrder(answer: OrderAnswer) {
         val before = switches.getAndUpdate { it.copy(loseOrderAnswers = maxOf(0, it.loseOrderAnswers - 1)) }
         if (before.loseOrderAnswers > 0) respond(HttpStatusCode.GatewayTimeout) else respond(answer)
@@ -128,6 +132,7 @@
             return
         }
         running.incrementAndGet()
+        requestsStarted.incrementAndGet()
         try {
             cacheEvents.add(completion.itemId, completion.prompt, switches.get().dropEveryNthCacheEvent)
             delay(switches.get().firstTokenMs)
--- a/transport/src/test/kotlin/io/daisybend/transport/PeerNetworkTest.kt
+++ b/transport/src/test/kotlin/io/daisybend/transport/PeerNetworkTest.kt
@@ -25,11 +25,12 @@
     suspend fun withPair(
         openerSecret: ByteArray = secret,
         limits: PeerLimits = PeerLimits(),
+        listenerLimits: PeerLimits = limits,
         body: suspend (PeerNetwork, PeerNetwork, SocketEndpoint) -> Unit,
     ) {
         val address = freeAddress()
         val opener = PeerNetwork(alpha, openerSecret, { address }, limits)
-        val listener = PeerNetwork(beta, secret, { null }, limits)
+        val listener = PeerNetwork(beta, secret, { null }, listenerLimits)
         try {
             listener.listen(address)
             body(opener, listener, address)
@@ -91,7 +92,10 @@
     }
 
     test("random bytes on the peers' port are refused and the daemon serves on") {
-        withPair(limits = PeerLimits(connectTimeoutMs = 300)) { opener, listener, address ->
+        withPair(
+            limits = PeerLimits(connectTimeoutMs = 5_000),
+            listenerLimits = PeerLimits(connectTimeoutMs = 300),
+        ) { opener, listener, address ->
             listener.handle("echo") { _, payload -> payload }
             val random = Random(5)
             repeat(200) {
