--- a/bench/src/main/kotlin/io/daisybend/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/BenchMain.kt
@@ -25,6 +25,7 @@
 import org.kohsuke.args4j.CmdLineParser
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.io.path.createDirectories
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
@@ -39,6 +40,7 @@
         parser.printUsage(System.err)
         exitProcess(EXIT_USAGE)
     }
+    Path.of(options.jsonFile).toAbsolutePath().parent.createDirectories()
     when {
         options.isHelp -> parser.printUsage(System.out)
         options.measuresDecisions -> reportDecisionCosts(options.seed, options.jsonFile)
--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -36,12 +36,12 @@
 import io.daisybend.daemon.gateway.GatewayLimits
 import io.daisybend.daemon.lifecycle.Lifecycle
 import io.daisybend.daemon.lifecycle.LifecyclePhase
+import io.daisybend.daemon.placement.ModelPlacement
 import io.daisybend.daemon.request.RequestService
 import io.daisybend.daemon.request.RequestSteps
 import io.daisybend.daemon.scheduling.EndpointQueues
 import io.daisybend.daemon.scheduling.QueuedModelAccess
 import io.daisybend.daemon.thin.ListedAddresses
-import io.daisybend.daemon.thin.LocalModelAccess
 import io.daisybend.daemon.thin.LocalRateLimiter
 import io.daisybend.dispatch.GatewayIncarnation
 import io.daisybend.kernel.Failure
@@ -163,9 +163,10 @@
     private val configurationPorts = ConfigurationPorts(ports.log, peers, ::otherVms, clock, timeline)
     private val configuration = FollowedConfiguration(configurationPorts, scope)
     private val submission = ChangeSubmission(ports.log, configuration, clock)
+    private val placement =
+        ModelPlacement(vmId, ports, peers, configuration, { addresses.liveVmIds }, clock, timeline, scope)
     private val endpointQueues = EndpointQueues(configuration, clock)
-    private val modelAccess =
-        QueuedModelAccess(LocalModelAccess(configuration, ports.engines, timeline), endpointQueues)
+    private val modelAccess = QueuedModelAccess(placement.access, endpointQueues)
     private val idempotentCalls = IdempotentCalls(
         incarnation = GatewayIncarnation(vmId, startId = SecureRandom().nextLong()),
         log = ports.log,
@@ -201,7 +202,7 @@
             lifecycle = lifecycle,
             metrics = metrics,
             routes = listOf(ConfigurationRoutes(configuration, submission), AddressRoute(addresses), stopRoute()),
-            statusSources = listOf(StatusSource { vmStatus() }),
+            statusSources = listOf(StatusSource { vmStatus() }, placement.status),
             readinessChecks = listOf(ReadinessCheck { configurationMissing() }),
         ),
     )
@@ -220,6 +221,7 @@
         scope.launch { endpointQueues.follow() }
         configuration.start()
         scope.launch { SnapshotTask(vmId, configurationPorts, configuration).run() }
+        placement.start()
         operators.start()
         callerInterface.start()
         lifecycle.advanceTo(LifecyclePhase.SERVING)
