--- a/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
@@ -214,7 +214,8 @@
             val engines = List(engineCount) { index ->
                 StandIn.engine(freePort(), EngineOptions(ENGINE_BYTES, checksFencing = index % 2 == 0)).start()
             }
-            val site = TestSite(platform, engines, StandIn.service(freePort()).start(), addressLifetimeMs, extraSettings)
+            val site =
+                TestSite(platform, engines, StandIn.service(freePort()).start(), addressLifetimeMs, extraSettings)
             try {
                 repeat(vmCount) { site.startVm("vm-$it") }
                 eventually { site.apply(site.manifest()).status.value == 200 }
