--- a/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/DemoMain.kt
@@ -4,7 +4,6 @@
  */
 package io.daisybend.bench.demo
 
-import io.daisybend.configuration.Manifest
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
@@ -23,7 +22,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
-import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.system.exitProcess
@@ -37,7 +35,8 @@
         expectSuccess = false
         install(HttpTimeout) { requestTimeoutMillis = 60_000 }
     }
-    runBlocking { Demo(DemoSite(args[0].toInt()), client, token, checks).run() }
+    val site = DemoSite(args[0].toInt())
+    runBlocking { Demo(site, client, DemoOperators(site, client, token), checks).run() }
     client.close()
     println(checks.summary())
     exitProcess(checks.exitCode)
@@ -46,16 +45,16 @@
 private class Demo(
     private val site: DemoSite,
     private val client: HttpClient,
-    private val operatorToken: String,
+    private val operators: DemoOperators,
     private val checks: DemoChecks,
 ) {
     private val key = DemoKey("front-desk", "uncommon-lantern")
     private val withdrawnKey = DemoKey("lost-phone", "forgotten-ferry")
 
     suspend fun run() {
-        awaitHealthy()
-        applyManifest(site.manifest(listOf(key.spec, withdrawnKey.spec)))
-        awaitReady()
+        operators.awaitHealthy()
+        operators.applyManifest(site.manifest(listOf(key.spec, withdrawnKey.spec)))
+        operators.awaitReady()
         coldRequest()
         streamedRequest()
         adapterRequest()
@@ -100,7 +99,7 @@
         }
 
     private suspend fun withdrawnKeyRequest() {
-        applyManifest(site.manifest(listOf(key.spec)))
+        operators.applyManifest(site.manifest(listOf(key.spec)))
         val refusal = awaitRefusal()
         val asExpected = refusal.status.value == 401 && refusal.headers["X-Execution-Status"] == "not_run"
         checks.refused("request with a withdrawn key", asExpected, "${refusal.status}")
@@ -120,7 +119,7 @@
     private suspend fun gracefulStop() = coroutineScope {
         val streams = List(STREAMS_DURING_STOP) { async { streamed(site.callerAddresses[2]) } }
         delay(POLL_INTERVAL_MS)
-        client.post("http://${site.operatorAddresses[2]}/admin/drain") { bearerAuth(operatorToken) }
+        operators.drain(site.operatorAddresses[2])
         streams.awaitAll().forEach {
             checks.served("stream during a stop", isWholeStream(it), "${tokenCount(it)} tokens")
         }
@@ -139,37 +138,6 @@
             setBody(chatBody(model, text, stream = false))
         }
 
-    /** Applies [manifest], waiting while the daemon is still starting. */
-    private suspend fun applyManifest(manifest: Manifest) {
-        var answer = ""
-        repeat(MAX_POLLS) {
-            val response = client.post("http://${site.operatorAddresses[0]}/admin/manifest") {
-                bearerAuth(operatorToken)
-                setBody(json.encodeToString(Manifest.serializer(), manifest))
-            }
-            if (response.status.value == 200) return
-            answer = response.bodyAsText()
-            delay(POLL_INTERVAL_MS)
-        }
-        error("expected an accepted manifest, got $answer")
-    }
-
-    private suspend fun awaitHealthy() = site.operatorAddresses.forEach { awaitOk("http://$it/healthz") }
-
-    private suspend fun awaitReady() = site.operatorAddresses.forEach { awaitOk("http://$it/readyz") }
-
-    private suspend fun awaitOk(url: String) {
-        repeat(MAX_POLLS) {
-            try {
-                if (client.get(url).status.value == 200) return
-            } catch (_: IOException) {
-                // The process has not started yet.
-            }
-            delay(POLL_INTERVAL_MS)
-        }
-        error("expected $url to answer 200 within ${MAX_POLLS * POLL_INTERVAL_MS} ms, it did not")
-    }
-
     private companion object {
         const val MAX_POLLS = 200
         const val POLL_INTERVAL_MS = 100L
--- a/bench/src/main/kotlin/io/daisybend/bench/demo/DemoSite.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/DemoSite.kt
@@ -21,12 +21,12 @@
 import java.util.HexFormat
 
 /** Where the demonstration's processes listen, all on the loopback address. */
-internal class DemoSite(portBase: Int) {
+internal class DemoSite(portBase: Int, daemons: Int = DAEMONS) {
     val platform = "127.0.0.1:$portBase"
     val engines = (1..ENGINES).map { "127.0.0.1:${portBase + it}" }
     val service = "127.0.0.1:${portBase + SERVICE_OFFSET}"
-    val callerAddresses = (0 until DAEMONS).map { "127.0.0.1:${portBase + CALLER_OFFSET + it}" }
-    val operatorAddresses = (0 until DAEMONS).map { "127.0.0.1:${portBase + OPERATOR_OFFSET + it}" }
+    val callerAddresses = (0 until daemons).map { "127.0.0.1:${portBase + CALLER_OFFSET + it}" }
+    val operatorAddresses = (0 until daemons).map { "127.0.0.1:${portBase + OPERATOR_OFFSET + it}" }
 
     fun manifest(keys: List<KeySpec>) = Manifest(
         models = models.map { ModelSpec(it, version = "1", weightsBytes = MODEL_BYTES) },
--- /dev/null
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/EndToEndMain.kt
@@ -0,0 +1,146 @@
+/*
+ * Measures what the system adds to a warm request: the time to the first token beside a direct call to the engine
+ * stand-in in the same run, and the requests a second for each core that the daemon uses.
+ */
+package io.daisybend.bench.demo
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import io.ktor.utils.io.readLineStrict
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.runBlocking
+import org.HdrHistogram.Histogram
+import java.nio.file.Files
+import java.nio.file.Path
+
+private const val MODEL = "order-drafts"
+private const val WARM_UP_REQUESTS = 1_000
+private const val MEASURED_REQUESTS = 2_000
+private const val WORKERS = 16
+private const val REQUESTS_PER_WORKER = 500
+private const val NANOS_PER_MICRO = 1_000L
+private const val NANOS_PER_SECOND = 1e9
+private const val MAX_MICROS = 60_000_000L
+
+/** Runs the measurement; arguments: first port, file with the operators' token. */
+public fun main(args: Array<String>) {
+    require(args.size == 2) { "expected PORT_BASE and TOKEN_FILE, got ${args.size} arguments" }
+    val site = DemoSite(args[0].toInt(), daemons = 1)
+    val client = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout) { requestTimeoutMillis = 60_000 }
+    }
+    val operators = DemoOperators(site, client, Files.readString(Path.of(args[1])).trim())
+    runBlocking { EndToEnd(site, client, operators).run() }
+    client.close()
+}
+
+private class EndToEnd(
+    private val site: DemoSite,
+    private val client: HttpClient,
+    private val operators: DemoOperators,
+) {
+    private val key = DemoKey("measurement", "steady-lighthouse")
+
+    suspend fun run() {
+        operators.awaitHealthy()
+        operators.applyManifest(site.manifest(listOf(key.spec)))
+        operators.awaitReady()
+        site.engines.forEach { setSpeed(it) }
+        firstTokenMicros { throughDaemon() }
+        val engine = site.engines.first { MODEL in client.get("http://$it/control/state").bodyAsText() }
+        repeat(WARM_UP_REQUESTS) {
+            firstTokenMicros { throughDaemon() }
+            firstTokenMicros { direct(engine) }
+        }
+        measureFirstToken(engine)
+        measureThroughput()
+    }
+
+    private suspend fun measureFirstToken(engine: String) {
+        val viaDaemon = Histogram(MAX_MICROS, 3)
+        val viaEngine = Histogram(MAX_MICROS, 3)
+        repeat(MEASURED_REQUESTS) {
+            viaDaemon.recordValue(firstTokenMicros { throughDaemon() })
+            viaEngine.recordValue(firstTokenMicros { direct(engine) })
+        }
+        println("first token of a warm request, $MEASURED_REQUESTS requests one after another, us")
+        println("percentile | through a daemon | direct to the engine | added")
+        for (percentile in listOf(50.0, 99.0)) {
+            val daemonMicros = viaDaemon.getValueAtPercentile(percentile)
+            val engineMicros = viaEngine.getValueAtPercentile(percentile)
+            println("p${percentile.toInt()} | $daemonMicros | $engineMicros | ${daemonMicros - engineMicros}")
+        }
+    }
+
+    private suspend fun measureThroughput() = coroutineScope {
+        val cpuBeforeSeconds = daemonCpuSeconds()
+        val startNanos = System.nanoTime()
+        List(WORKERS) {
+            async { repeat(REQUESTS_PER_WORKER) { firstTokenMicros { throughDaemon() } } }
+        }.awaitAll()
+        val seconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND
+        val cpuSeconds = daemonCpuSeconds() - cpuBeforeSeconds
+        val requests = WORKERS * REQUESTS_PER_WORKER
+        println("throughput, $WORKERS callers, $requests requests of one token")
+        println("requests/s | daemon cores used | requests/s for each core")
+        println("%.0f | %.2f | %.0f".format(requests / seconds, cpuSeconds / seconds, requests / cpuSeconds))
+    }
+
+    private suspend fun daemonCpuSeconds(): Double =
+        client.get("http://${site.operatorAddresses.first()}/metrics").bodyAsText().lines()
+            .first { it.startsWith("process_cpu_seconds_total") }
+            .substringAfterLast(' ').toDouble()
+
+    private suspend fun setSpeed(engine: String) {
+        client.post("http://$engine/switches") {
+            contentType(ContentType.Application.Json)
+            setBody("""{"firstTokenMs":0,"tokenIntervalMs":0}""")
+        }
+    }
+
+    private fun HttpRequestBuilder.throughDaemon() {
+        url("http://${site.callerAddresses.first()}/v1/chat/completions")
+        bearerAuth(key.text)
+        val message = """[{"role":"user","content":"hello"}]"""
+        setBody("""{"model":"$MODEL","stream":true,"max_tokens":1,"messages":$message}""")
+    }
+
+    private fun HttpRequestBuilder.direct(engine: String) {
+        url("http://$engine/completions")
+        setBody("""{"requestId":"direct","attempt":1,"itemId":"$MODEL","prompt":"user: hello","maxTokens":1}""")
+    }
+
+    /** Sends one request and returns the time until its first event, in microseconds. */
+    private suspend fun firstTokenMicros(request: HttpRequestBuilder.() -> Unit): Long {
+        val startNanos = System.nanoTime()
+        var micros = 0L
+        client.preparePost {
+            contentType(ContentType.Application.Json)
+            request()
+        }.execute { response ->
+            check(response.status.value == 200) {
+                "expected status 200, got ${response.status}: ${response.bodyAsText()}"
+            }
+            val lines = response.bodyAsChannel()
+            var line = lines.readLineStrict()
+            micros = (System.nanoTime() - startNanos) / NANOS_PER_MICRO
+            while (line != null) line = lines.readLineStrict()
+        }
+        return micros
+    }
+}
--- a/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/Daemon.kt
@@ -5,10 +5,7 @@
 package io.daisybend.daemon
 
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
-import com.github.michaelbull.result.mapError
-import com.github.michaelbull.result.runCatching
 import io.daisybend.daemon.admin.AddressRoute
 import io.daisybend.daemon.admin.OperatorContext
 import io.daisybend.daemon.admin.OperatorInterface
@@ -29,8 +26,6 @@
 import io.daisybend.daemon.dispatch.ResumingModelDispatcher
 import io.daisybend.daemon.dispatch.dispatchOnce
 import io.daisybend.daemon.dispatch.dispatchPeers
-import io.daisybend.daemon.endpoint.EngineClient
-import io.daisybend.daemon.endpoint.ServiceClient
 import io.daisybend.daemon.gateway.CallerContext
 import io.daisybend.daemon.gateway.CallerInterface
 import io.daisybend.daemon.gateway.GatewayLimits
@@ -47,13 +42,10 @@
 import io.daisybend.daemon.scheduling.EndpointQueues
 import io.daisybend.daemon.scheduling.QueuedModelAccess
 import io.daisybend.dispatch.GatewayIncarnation
-import io.daisybend.kernel.Failure
 import io.daisybend.kernel.FailureDomainId
 import io.daisybend.kernel.MillisClock
-import io.daisybend.kernel.PlatformLog
 import io.daisybend.kernel.SystemMillisClock
 import io.daisybend.kernel.Timeline
-import io.daisybend.kernel.VmDirectory
 import io.daisybend.kernel.VmEntry
 import io.daisybend.kernel.VmId
 import io.daisybend.kernel.VmState
@@ -62,10 +54,6 @@
 import io.daisybend.kernel.settings.Settings
 import io.daisybend.membership.StopSettings
 import io.daisybend.transport.PeerNetwork
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.server.routing.post
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -78,74 +66,8 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.slf4j.LoggerFactory
-import java.nio.file.Files
-import java.nio.file.Path
 import java.security.SecureRandom
 
-/** A file that the settings name cannot be read. */
-public data class UnreadableSecret(val file: String) : Failure {
-    override val message: String = "expected a readable file with a secret at $file, got none"
-}
-
-/** Secrets that are read from files at start. */
-public class DaemonSecrets(internal val peerSecret: ByteArray, internal val operatorToken: String)
-
-/** Reads the secrets that [settings] name; fails when a file cannot be read. */
-public fun readSecrets(settings: Settings): Result<DaemonSecrets, UnreadableSecret> =
-    readSecret(settings[DaemonKeys.peerSecretFile]).andThen { peerSecret ->
-        readSecret(settings[DaemonKeys.operatorTokenFile]).map { token ->
-            DaemonSecrets(peerSecret.toByteArray(), token)
-        }
-    }
-
-private fun readSecret(file: String): Result<String, UnreadableSecret> =
-    runCatching { Files.readString(Path.of(file)).trim().also { require(it.isNotEmpty()) { "expected a secret" } } }
-        .mapError { UnreadableSecret(file) }
-
-/** The ports to everything outside this process. */
-public class DaemonPorts(
-    public val log: PlatformLog,
-    public val directory: VmDirectory,
-    public val engines: EngineClient,
-    public val services: ServiceClient,
-)
-
-/** Creates the ports that [settings] name; fails when no plug-in offers one. */
-public fun createPorts(
-    settings: Settings,
-    registry: PortRegistry,
-    client: HttpClient,
-): Result<DaemonPorts, UnknownImplementation> {
-    val platform =
-        PlatformContext(client, settings[DaemonKeys.platformAddress], settings[DaemonKeys.platformTimeout])
-    val endpoints = EndpointContext(client, settings[DaemonKeys.controlTimeout])
-    return registry.create(PlatformLog::class, settings[DaemonKeys.platformProtocol], platform).andThen { log ->
-        registry.create(VmDirectory::class, settings[DaemonKeys.platformProtocol], platform).andThen { directory ->
-            registry.create(EngineClient::class, settings[DaemonKeys.engineProtocol], endpoints).andThen { engines ->
-                registry.create(ServiceClient::class, settings[DaemonKeys.serviceProtocol], endpoints)
-                    .map { DaemonPorts(log, directory, engines, it) }
-            }
-        }
-    }
-}
-
-/** Returns the HTTP client of a daemon. */
-public fun daemonHttpClient(): HttpClient = HttpClient(CIO) {
-    expectSuccess = false
-    engine {
-        requestTimeout = 0
-        maxConnectionsCount = MAX_CONNECTIONS
-        endpoint {
-            connectTimeout = CONNECT_TIMEOUT_MS
-            maxConnectionsPerRoute = MAX_CONNECTIONS
-        }
-    }
-    install(HttpTimeout)
-}
-
-private const val MAX_CONNECTIONS = 4_000
-private const val CONNECT_TIMEOUT_MS = 2_000L
-
 /** Runs the daemon that [settings] describe. */
 public class Daemon(
     private val settings: Settings,
--- /dev/null
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/DaemonPorts.kt
@@ -0,0 +1,43 @@
+/*
+ * The ports of a daemon, created by the plug-ins that its settings name.
+ */
+package io.daisybend.daemon
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import io.daisybend.daemon.endpoint.EngineClient
+import io.daisybend.daemon.endpoint.ServiceClient
+import io.daisybend.kernel.PlatformLog
+import io.daisybend.kernel.VmDirectory
+import io.daisybend.kernel.plugin.PortRegistry
+import io.daisybend.kernel.plugin.UnknownImplementation
+import io.daisybend.kernel.settings.Settings
+import io.ktor.client.HttpClient
+
+/** The ports to everything outside this process. */
+public class DaemonPorts(
+    public val log: PlatformLog,
+    public val directory: VmDirectory,
+    public val engines: EngineClient,
+    public val services: ServiceClient,
+)
+
+/** Creates the ports that [settings] name; fails when no plug-in offers one. */
+public fun createPorts(
+    settings: Settings,
+    registry: PortRegistry,
+    client: HttpClient,
+): Result<DaemonPorts, UnknownImplementation> {
+    val platform =
+        PlatformContext(client, settings[DaemonKeys.platformAddress], settings[DaemonKeys.platformTimeout])
+    val endpoints = EndpointContext(client, settings[DaemonKeys.controlTimeout])
+    return registry.create(PlatformLog::class, settings[DaemonKeys.platformProtocol], platform).andThen { log ->
+        registry.create(VmDirectory::class, settings[DaemonKeys.platformProtocol], platform).andThen { directory ->
+            registry.create(EngineClient::class, settings[DaemonKeys.engineProtocol], endpoints).andThen { engines ->
+                registry.create(ServiceClient::class, settings[DaemonKeys.serviceProtocol], endpoints)
+                    .map { DaemonPorts(log, directory, engines, it) }
+            }
+        }
+    }
+}
--- a/daemon/src/main/kotlin/io/daisybend/daemon/lifecycle/Lifecycle.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/lifecycle/Lifecycle.kt
@@ -1,6 +1,6 @@
 /*
- * The life of this process: it starts, serves, leaves, and stops. While it leaves it still serves, because callers may
- * hold its address; it stops only after the longest address lifetime and the last request.
+ * The life of this process: it starts, serves, leaves, finishes and stops. While it leaves it still serves, because
+ * callers may hold its address. When the longest address lifetime has run out, it only finishes what is in progress.
  */
 package io.daisybend.daemon.lifecycle
 
@@ -13,7 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** Where a process is in its life. */
-public enum class LifecyclePhase { STARTING, SERVING, LEAVING, STOPPED }
+public enum class LifecyclePhase { STARTING, SERVING, LEAVING, FINISHING, STOPPED }
 
 /** Tracks the phase and the requests in progress. */
 public class Lifecycle {
@@ -33,13 +33,13 @@
         if (next > phase) phase = next
     }
 
-    /** Counts [requestId] as in progress during [work]; fails when this process has stopped. */
+    /** Counts [requestId] as in progress during [work]; fails when this process takes no new requests. */
     public suspend fun <T> track(
         requestId: RequestId,
         work: suspend () -> Result<T, RequestFailure>,
     ): Result<T, RequestFailure> {
-        if (phase == LifecyclePhase.STOPPED) {
-            return Err(RequestFailure.NotReady("expected a serving VM, this one has stopped", RETRY_AFTER_MS))
+        if (phase >= LifecyclePhase.FINISHING) {
+            return Err(RequestFailure.NotReady("expected a serving VM, this one is stopping", RETRY_AFTER_MS))
         }
         inProgress += requestId
         try {
--- a/daemon/src/main/kotlin/io/daisybend/daemon/membership/StopRunner.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/membership/StopRunner.kt
@@ -4,6 +4,7 @@
 package io.daisybend.daemon.membership
 
 import io.daisybend.daemon.lifecycle.Lifecycle
+import io.daisybend.daemon.lifecycle.LifecyclePhase
 import io.daisybend.kernel.MillisClock
 import io.daisybend.kernel.Timeline
 import io.daisybend.membership.StopAction
@@ -44,12 +45,17 @@
     private suspend fun perform(action: StopAction) {
         when (action) {
             StopAction.RegisterAsLeaving -> if (steps.registerAsLeaving()) feed(StopEvent.RegisteredAsLeaving)
-            StopAction.RefuseNewRequests -> timeline.record("daemon-finishing")
+            StopAction.RefuseNewRequests -> finish()
             StopAction.Release -> if (steps.release()) feed(StopEvent.Released)
             is StopAction.Exit -> timeline.record("daemon-released", detail = "${action.requestsCut} requests cut")
         }
     }
 
+    private fun finish() {
+        lifecycle.advanceTo(LifecyclePhase.FINISHING)
+        timeline.record("daemon-finishing")
+    }
+
     private companion object {
         const val TICK_INTERVAL_MS = 20L
     }
