--- a/bench/src/main/kotlin/io/daisybend/bench/demo/EndToEndMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/EndToEndMain.kt
@@ -1,6 +1,6 @@
 /*
  * Measures what the system adds to a warm request: the time to the first token beside a direct call to the engine
- * stand-in in the same run, and the requests a second for each core that the daemon uses.
+ * stand-in in the same run, the requests a second for each core that the daemon uses, and what it uses without requests.
  */
 package io.daisybend.bench.demo
 
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.HdrHistogram.Histogram
 import java.nio.file.Files
@@ -34,6 +35,9 @@
 private const val REQUESTS_PER_WORKER = 500
 private const val NANOS_PER_MICRO = 1_000L
 private const val NANOS_PER_SECOND = 1e9
+private const val IDLE_SETTLE_MS = 3_000L
+private const val IDLE_MEASURED_MS = 10_000L
+private const val PERCENT = 100
 private const val MAX_MICROS = 60_000_000L
 
 /** Runs the measurement; arguments: first port, file with the operators' token. */
@@ -69,6 +73,18 @@
         }
         measureFirstToken(engine)
         measureThroughput()
+        measureIdle()
+    }
+
+    /** The daemon's processor time without requests: reads of the log and the list, state reads, ticks. */
+    private suspend fun measureIdle() {
+        delay(IDLE_SETTLE_MS)
+        val cpuBeforeSeconds = daemonCpuSeconds()
+        val startNanos = System.nanoTime()
+        delay(IDLE_MEASURED_MS)
+        val cpuSeconds = daemonCpuSeconds() - cpuBeforeSeconds
+        val seconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND
+        println("idle daemon, %.0f s: %.2f%% of a core".format(seconds, cpuSeconds / seconds * PERCENT))
     }
 
     private suspend fun measureFirstToken(engine: String) {
