Give draining endpoints no new work

Cause: the configuration knew draining endpoints, but nothing in the daemon looked at it, so a leaving endpoint got work until it vanished. Access, load requests, plain services and waiting queues now skip it; a queue that stands already goes elsewhere.

--- a/bench/src/main/kotlin/io/daisybend/bench/demo/EndToEndMain.kt
+++ b/bench/src/main/kotlin/io/daisybend/bench/demo/EndToEndMain.kt
@@ -1,6 +1,7 @@
 /*
  * Measures what the system adds to a warm request: the time to the first token beside a direct call to the engine
- * stand-in in the same run, the requests a second for each core that the daemon uses, and what it uses without requests.
+ * stand-in in the same run, the requests a second for each core that the daemon uses, and what it uses without
+ * requests.
  */
 package io.daisybend.bench.demo
 
--- a/cli/src/main/kotlin/io/daisybend/cli/CliMain.kt
+++ b/cli/src/main/kotlin/io/daisybend/cli/CliMain.kt
@@ -22,6 +22,8 @@
     KeyIssueCommand(),
     KeyWithdrawCommand(),
     KeyListCommand(),
+    EndpointListCommand(),
+    EndpointDrainCommand(),
     StatusCommand(),
     TimelineCommand(),
     AddressCommand(),
--- a/cli/src/main/kotlin/io/daisybend/cli/KeyCommands.kt
+++ b/cli/src/main/kotlin/io/daisybend/cli/KeyCommands.kt
@@ -82,7 +82,7 @@
 
 internal fun shownKeys(answer: String): ShownKeys = cliJson.decodeFromString(ShownKeys.serializer(), answer)
 
-private suspend fun OperatorClient.submit(changeId: String, change: ConfigurationChange): Result<String, CliFailure> {
+internal suspend fun OperatorClient.submit(changeId: String, change: ConfigurationChange): Result<String, CliFailure> {
     val record = ConfigurationRecord.Change(ChangeId(changeId), change)
     return send(
         HttpMethod.Post,
--- a/daemon/src/main/kotlin/io/daisybend/daemon/configuration/ConfigurationRoutes.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/configuration/ConfigurationRoutes.kt
@@ -30,6 +30,7 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
 import java.util.UUID
 
 @Serializable
@@ -44,6 +45,11 @@
 @Serializable
 internal data class ShownKeys(val keys: List<ShownKey>, val withdrawnKeyIds: List<String>)
 
+@Serializable
+internal data class ShownEndpoint(val endpointId: String, val draining: Boolean, val drainRevision: Long)
+
+private val endpointList = ListSerializer(ShownEndpoint.serializer())
+
 internal class ConfigurationRoutes(
     private val configuration: FollowedConfiguration,
     private val submission: ChangeSubmission,
@@ -52,6 +58,7 @@
         route.get("/manifest") { call.respondAdmin(ShownManifest.serializer(), shownManifest()) }
         route.post("/manifest") { applyManifest(call) }
         route.get("/keys") { call.respondAdmin(ShownKeys.serializer(), shownKeys()) }
+        route.get("/endpoints") { call.respondAdmin(endpointList, shownEndpoints()) }
         route.post("/changes") { submitChange(call) }
     }
 
@@ -71,6 +78,13 @@
         return ShownKeys(keys, state.withdrawnKeyIds.map { it.value })
     }
 
+    private fun shownEndpoints(): List<ShownEndpoint> {
+        val state = state()
+        return state.tables.endpoints.keys.map {
+            ShownEndpoint(it.value, state.isDraining(it), state.drainRevisionOf(it))
+        }
+    }
+
     private suspend fun applyManifest(call: ApplicationCall) {
         val state = configuration.awaitState() ?: return call.refuse(notReady, HttpStatusCode.ServiceUnavailable)
         val changeId = ChangeId(call.request.queryParameters["changeId"] ?: UUID.randomUUID().toString())
--- a/daemon/src/main/kotlin/io/daisybend/daemon/configuration/FollowedConfiguration.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/configuration/FollowedConfiguration.kt
@@ -36,6 +36,7 @@
 import io.daisybend.daemon.request.ConfigurationView
 import io.daisybend.daemon.request.ExecutionStatus
 import io.daisybend.daemon.request.RequestFailure
+import io.daisybend.kernel.EndpointId
 import io.daisybend.kernel.MillisClock
 import io.daisybend.kernel.PlatformLog
 import io.daisybend.kernel.Timeline
@@ -145,16 +146,20 @@
 
     private fun publish(state: ConfigurationState) {
         val before = inForce.value
-        val isChanged = before?.state?.tables !== state.tables
-        val index = if (isChanged) indexOf(state) else before.index
+        val draining = state.drainingEndpointIds()
+        val isChanged = before?.state?.tables !== state.tables || before.state.drainingEndpointIds() != draining
+        val index = if (isChanged) indexOf(state, draining) else before.index
         inForce.value = InForce(state, KeyIndex(state), index)
         if (before?.state?.revision != state.revision) {
             ports.timeline.record("configuration-applied", detail = "revision ${state.revision}")
         }
     }
 
-    private fun indexOf(state: ConfigurationState): ConfigurationIndex? =
-        if (state.revision == 0L) null else ConfigurationIndex(state.revision, state.manifest())
+    private fun indexOf(state: ConfigurationState, draining: Set<EndpointId>): ConfigurationIndex? =
+        if (state.revision == 0L) null else ConfigurationIndex(state.revision, state.manifest(), draining)
+
+    private fun ConfigurationState.drainingEndpointIds(): Set<EndpointId> =
+        tables.endpoints.keys.filterTo(HashSet()) { isDraining(it) }
 
     private fun perform(action: FollowerAction) {
         when (action) {
--- a/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcher.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcher.kt
@@ -93,7 +93,8 @@
 
 private fun endpointsFor(configuration: ConfigurationView, call: ServiceCall): List<EndpointSpec> {
     val index = configuration.current() ?: return emptyList()
-    return rankByRendezvous(call.requestId.value, call.route.endpointIds).mapNotNull { index.endpoint(it) }
+    val accepting = call.route.endpointIds.filter { index.acceptsNewWork(it) }
+    return rankByRendezvous(call.requestId.value, accepting).mapNotNull { index.endpoint(it) }
 }
 
 private val ServiceCall.teamId: TeamId get() = caller?.teamId ?: TeamId("")
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacedModelAccess.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/PlacedModelAccess.kt
@@ -40,7 +40,7 @@
             index.endpointHolding(wanted, request.avoidEndpointId)?.let {
                 return Ok(Grant(it, wanted.map { w -> w.artifact }))
             }
-            firstMissing(wanted)?.let { requests.want(index, it.artifact, it.weightsBytes) }
+            index.firstMissing(wanted)?.let { requests.want(index, it.artifact, it.weightsBytes) }
             awaitChange(seenOffset, request.deadlineMs)
         }
         return Err(
@@ -61,12 +61,13 @@
         val holders = wanted
             .map { runtime.ledger.loadedAt(it.artifact).toSet() }
             .reduce { all, next -> all intersect next }
+            .filter { acceptsNewWork(it) }
         val preferred = holders.filter { it != avoided }.ifEmpty { holders }
         return rankByRendezvous(wanted.last().artifact.itemId, preferred).firstNotNullOfOrNull { endpoint(it) }
     }
 
-    private fun firstMissing(wanted: List<Wanted>): Wanted? =
-        wanted.firstOrNull { runtime.ledger.loadedAt(it.artifact).isEmpty() } ?: wanted.lastOrNull()
+    private fun ConfigurationIndex.firstMissing(wanted: List<Wanted>): Wanted? =
+        wanted.firstOrNull { runtime.ledger.loadedAt(it.artifact).none(::acceptsNewWork) } ?: wanted.lastOrNull()
 
     private suspend fun awaitChange(seenOffset: Long, deadlineMs: Long) {
         val waitMs = minOf(MAX_WAIT_MS, deadlineMs - clock.nowMs())
--- a/daemon/src/main/kotlin/io/daisybend/daemon/placement/ReplicaRequests.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/placement/ReplicaRequests.kt
@@ -49,10 +49,18 @@
     suspend fun want(index: ConfigurationIndex, artifact: Artifact, weightsBytes: Long) {
         if (!isDue(artifact)) return
         val candidates = index.manifest.endpoints
-            .filter { it.kind == EndpointKind.ENGINE }
+            .filter { it.kind == EndpointKind.ENGINE && index.acceptsNewWork(it.endpointId) }
             .map { EndpointCandidate(it.endpointId, it.failureDomainId) }
         val cost = EvictionCost { _, other -> usage.evictionCost(other) }
-        when (val choice = runtime.ledger.chooseEndpoint(artifact, weightsBytes, candidates, evictionCost = cost)) {
+        val leaving = runtime.ledger.loadedAt(artifact).count { !index.acceptsNewWork(it) }
+        val choice = runtime.ledger.chooseEndpoint(
+            artifact = artifact,
+            weightsBytes = weightsBytes,
+            candidates = candidates,
+            wantedReplicas = 1 + leaving,
+            evictionCost = cost,
+        )
+        when (choice) {
             is PlacementChoice.Load ->
                 send(ReplicaRequest(choice.endpointId, artifact, choice.expectedRevision, weightsBytes))
             is PlacementChoice.Evict ->
--- a/daemon/src/main/kotlin/io/daisybend/daemon/request/ConfigurationView.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/ConfigurationView.kt
@@ -16,8 +16,12 @@
 import io.daisybend.kernel.ModelId
 import io.daisybend.kernel.TeamId
 
-/** A manifest in force with its [revision]. */
-public class ConfigurationIndex(public val revision: Long, public val manifest: Manifest) {
+/** A manifest in force with its [revision] and the endpoints that operators drain. */
+public class ConfigurationIndex(
+    public val revision: Long,
+    public val manifest: Manifest,
+    public val drainingEndpointIds: Set<EndpointId> = emptySet(),
+) {
     private val models = manifest.models.associateBy { it.modelId }
     private val adapters = manifest.adapters.associateBy { it.adapterId }
     private val teams = manifest.teams.associateBy { it.teamId }
@@ -40,6 +44,10 @@
     /** Returns the endpoint [endpointId], or null. */
     public fun endpoint(endpointId: EndpointId): EndpointSpec? = endpoints[endpointId]
 
+    /** Tells whether new work may go to [endpointId]: it is configured and not draining. */
+    public fun acceptsNewWork(endpointId: EndpointId): Boolean =
+        endpointId in endpoints && endpointId !in drainingEndpointIds
+
     /** Returns the route [name], or null. */
     public fun route(name: String): RouteSpec? = routes[name]
 }
--- a/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestFailure.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/request/RequestFailure.kt
@@ -83,6 +83,14 @@
         override val type: String = "overloaded_error"
     }
 
+    /** The endpoint that the request waited for takes no new work; another one may. */
+    public data object EndpointLeaving : RequestFailure() {
+        override val httpStatus: Int = 503
+        override val type: String = "overloaded_error"
+        override val message: String = "expected a serving endpoint, it is leaving"
+        override val retryAfterMs: Long = 1_000
+    }
+
     /** This VM cannot serve now: it is stopping, has no configuration, or cannot confirm that it is current. */
     public data class NotReady(override val message: String, override val retryAfterMs: Long) : RequestFailure() {
         override val httpStatus: Int = 503
--- a/daemon/src/main/kotlin/io/daisybend/daemon/scheduling/EndpointQueues.kt
+++ b/daemon/src/main/kotlin/io/daisybend/daemon/scheduling/EndpointQueues.kt
@@ -52,14 +52,19 @@
     fun leave(request: ModelRequest, endpoint: EndpointSpec): Unit =
         handle(endpoint.endpointId, QueueEvent.Finished(request.requestId, request.costTokens))
 
-    /** Refuses what can no longer start in time, until it is cancelled. */
+    /** Refuses what can no longer start in time and sends the queues of leaving endpoints away, until cancelled. */
     suspend fun follow() {
         while (true) {
             delay(TICK_MS)
-            shards.flatMap { synchronized(it) { it.queues.keys.toList() } }.forEach { handle(it, QueueEvent.Tick) }
+            shards.flatMap { synchronized(it) { it.queues.keys.toList() } }.forEach { handle(it, tickOf(it)) }
         }
     }
 
+    private fun tickOf(endpointId: EndpointId): QueueEvent {
+        val isLeaving = configuration.current()?.acceptsNewWork(endpointId) == false
+        return if (isLeaving) QueueEvent.EndpointLeft else QueueEvent.Tick
+    }
+
     private fun arrive(request: ModelRequest, endpoint: EndpointSpec, verdict: CompletableDeferred<QueueAction>) {
         val shard = shardOf(endpoint.endpointId)
         synchronized(shard) {
@@ -102,8 +107,6 @@
     }
 }
 
-private const val REROUTE_RETRY_AFTER_MS = 1_000L
-
 private val ModelRequest.costTokens: Long get() = promptTokens + maxOutputTokens
 
 private val QueueAction.requestId: RequestId
@@ -117,6 +120,5 @@
     when (this) {
         is QueueAction.Dispatch -> Ok(Unit)
         is QueueAction.Refuse -> Err(RequestFailure.Overloaded(refusal.message, refusal.retryAfterMs))
-        is QueueAction.Reroute ->
-            Err(RequestFailure.Overloaded("expected a serving endpoint, it is leaving", REROUTE_RETRY_AFTER_MS))
+        is QueueAction.Reroute -> Err(RequestFailure.EndpointLeaving)
     }
