Wait for a copy on an engine that is loading what must make way for it

Cause: the planner offered an engine for a load only if models already held there could make way. A model that the engine was just loading counted as memory taken for good, so an engine with a copy on its disk seemed impossible for up to a second, and the model was loaded from the store instead: 6 s during which requests for it were refused and another engine took no orders. Ruled out: engines without their disks' copies (the order log shows loads from those disks before), the permit of the store (loads were begun at once), late lists. Change: what an engine is loading may make way too, after its stay, also when requests wait for it.

--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineLedger.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineLedger.kt
@@ -99,6 +99,10 @@
     private var isBusyUnknown = false
     private var retryAtMs = 0L
 
+    /** The model that the engine is loading, or was just ordered to load. */
+    public val loadingModel: String?
+        get() = runningLoad?.model ?: (outstanding as? EngineOrder.LoadModel)?.model
+
     /** Whether an order may be sent at [nowMs]: an engine carries out one at a time. */
     public fun acceptsOrders(nowMs: Long): Boolean =
         outstanding == null &&
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -259,8 +259,12 @@
             val victims = ArrayList<String>()
             var loss = 0.0
             var free = freeMb(engine, besides = model.name)
-            val candidates = engine.ledger.holdings.models.keys
-                .filter { it !in wantedModels }
+            // What the engine is loading makes way later, also when requests wait for it now.
+            val candidates = (
+                engine.ledger.holdings.models.keys.filter { it !in wantedModels } +
+                    listOfNotNull(engine.ledger.loadingModel)
+                )
+                .distinct()
                 .map { it to lossOf(engine, it) + stayLeftMs(engine, it) }
                 .sortedBy { it.second }
                 .toMutableList()
@@ -285,8 +289,10 @@
         }
 
         /** How long [model] must still stay on [engine] after its load, in milliseconds. */
-        private fun stayLeftMs(engine: PlannedEngine, model: String): Long =
-            engine.ledger.heldForMs(model, nowMs)?.let { (MIN_STAY_MS - it).coerceAtLeast(0) } ?: 0
+        private fun stayLeftMs(engine: PlannedEngine, model: String): Long {
+            if (model == engine.ledger.loadingModel) return MIN_STAY_MS
+            return engine.ledger.heldForMs(model, nowMs)?.let { (MIN_STAY_MS - it).coerceAtLeast(0) } ?: 0
+        }
 
         private fun lossOf(engine: PlannedEngine, model: String): Double {
             val elsewhere = engines.any { it !== engine && model in it.ledger.holdings.models }
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
@@ -105,6 +105,15 @@
         plan(listOf(copy, elsewhere), listOf(want("m5"), want("m1"))).shouldBeEmpty()
     }
 
+    test("a copy on an engine that is loading what must make way for it is waited for, rather than the store") {
+        val copy = engine("a", setOf("m1"), disk = setOf("m2", "m5"))
+        copy.ledger.onSent(EngineOrder.LoadModel("m2", WeightSource.DISK))
+        plan(listOf(copy, engine("b", emptySet())), listOf(want("m5"), want("m1"))).shouldBeEmpty()
+        copy.ledger.onAnswer(OrderAnswer.Accepted, 9_900, 10_700)
+        plan(listOf(copy, engine("b", emptySet())), listOf(want("m5"), want("m1"))).shouldBeEmpty()
+        plan(listOf(copy, engine("b", emptySet())), listOf(want("m5"), want("m1"), want("m2"))).shouldBeEmpty()
+    }
+
     test("a model on no disk is fetched ahead while nothing waits") {
         val all = modelNames.toSet()
         val order = plan(
