The next process of the holder's VM takes the order duty over at once

A VM that was asked to stop gave the duty up at once, seconds before its process ended. Ruled out: the age of the record by wall clock, which would shorten the wait of other VMs too: clocks may step. Change: holders are named by VM, address and start. A process whose VM's former process wrote the newest record appends at once; the append succeeds only if no other VM came between, and its epoch is higher. A stopping VM keeps the duty until its process ends. Tests: "the next process of the holder's machine takes over at once, and one of another machine waits"; the 3,000 schedules of kills, freezes, cuts, lost and late appends restart processes on their VMs and break no turn.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -33,6 +33,7 @@
 import io.daisybend.platform.readDirectoryQuestion
 import io.daisybend.platform.writeAddresses
 import io.daisybend.serving.attempt.RepeatBudgetSettings
+import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutySettings
 import io.daisybend.serving.endpoint.EndpointChooser
 import io.daisybend.serving.endpoint.EndpointTable
@@ -58,7 +59,7 @@
 internal class EntryVm(private val settings: VmSettings, private val clocks: ClockPair = SystemClockPair) {
     private val bounds = settings.bounds
     private val startedAt = clocks.read()
-    private val dutyName = "${settings.vm}@${startedAt.wallMs}"
+    private val ownHolder = DutyHolder(settings.vm, settings.ip, startedAt.wallMs)
     private val log = EventLog(settings.vm)
     private val metrics = Metrics()
     private val selector = SelectorManager(Dispatchers.IO)
@@ -92,7 +93,7 @@
     private val duty = DutyRunner(
         store,
         clocks,
-        dutyName,
+        ownHolder,
         DutySettings(turnGapMs = bounds.turnGapMs),
         log,
         { candidateRank() },
@@ -169,7 +170,6 @@
         val beganMs = steadyMs()
         log.write("stopping", "underWay" to callers.underWay)
         callers.isStopping = true
-        duty.giveUp()
         link.reportSoon()
         delay(minOf(ACCEPT_WHILE_STOPPING_MS, bounds.graceMs / 3))
         callerSocket?.close()
@@ -179,6 +179,8 @@
             delay(STOP_LOOK_MS)
             callers.closeIdle()
         }
+        // No other VM may order for a while after this one: it orders until it ends, or until its next process goes on.
+        duty.giveUp()
         log.write("stopped", "underWay" to callers.underWay, "tookMs" to steadyMs() - beganMs)
         delay(STOP_LOOK_MS)
     }
@@ -217,7 +219,8 @@
 
     /** This VM's place among the candidates for the order duty, or null when it is none. */
     private fun candidateRank(excluding: String? = null): Int? {
-        if (callers.isStopping || configuration.confirmationAgeMs() > CANDIDATE_AGE_MS) return null
+        if (callers.isStopping && duty.currentTurn() == null) return null
+        if (configuration.confirmationAgeMs() > CANDIDATE_AGE_MS) return null
         val others = peers.alive(steadyMs())
             .filter { !it.stopping && it.storeAgeMs < CANDIDATE_AGE_MS && it.vm != excluding }
             .map { it.vm }
@@ -316,7 +319,7 @@
 
     /** The first two VMs in touch with the store append a peer's renewal. */
     private fun renewForPeer(renewal: DutyReport) {
-        val candidate = candidateRank(excluding = renewal.holder.substringBefore('@')) ?: return
+        val candidate = candidateRank(excluding = DutyHolder.parse(renewal.holder)?.vm) ?: return
         if (candidate >= RENEWING_PEERS || !renewing.compareAndSet(false, true)) return
         scope.launch {
             if (duty.appendFor(renewal)) link.reportSoon()
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/DutyRunner.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/DutyRunner.kt
@@ -11,6 +11,7 @@
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.StoreFailure
 import io.daisybend.platform.StoreTopic
+import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutyLease
 import io.daisybend.serving.duty.DutyRecord
 import io.daisybend.serving.duty.DutySettings
@@ -22,38 +23,39 @@
 internal class DutyRunner(
     private val store: StoreClient,
     private val clocks: ClockPair,
-    private val ownName: String,
+    private val own: DutyHolder,
     settings: DutySettings,
     private val log: EventLog,
     private val rank: () -> Int?,
 ) {
     private val lock = Any()
-    private val lease = DutyLease(ownName, settings, clocks.read())
+    private val lease = DutyLease(own, settings, clocks.read())
 
     /** The turn in which this VM may order now, or null. */
     fun currentTurn(): Long? = synchronized(lock) { lease.ownEpoch?.takeIf { lease.mayOrder(clocks.read()) } }
 
     /** The newest record that this VM knows, for its report. */
     fun newest(): DutyReport? = synchronized(lock) {
-        lease.newestRecord?.let { DutyReport(it.holder, it.epoch, it.offset) }
+        lease.newestRecord?.let { it.toReport() }
     }
 
     /** The record that peers should append for this VM, if any. */
     fun renewalToAsk(): DutyReport? =
-        synchronized(lock) { lease.renewalToAsk(clocks.read()) }?.let { DutyReport(it.holder, it.epoch, it.offset) }
+        synchronized(lock) { lease.renewalToAsk(clocks.read()) }?.let { it.toReport() }
 
     /** Takes in a record that a peer told of. */
     fun onReport(report: DutyReport) {
-        synchronized(lock) { lease.onRecordHeard(report.toRecord(), clocks.read()) }
+        val record = report.toRecord() ?: return
+        synchronized(lock) { lease.onRecordHeard(record, clocks.read()) }
     }
 
     /** Appends [asked] for a holder that the store turns away; returns whether the log has moved. */
     suspend fun appendFor(asked: DutyReport): Boolean {
-        val record = asked.toRecord()
+        val record = asked.toRecord() ?: return false
         if (!synchronized(lock) { lease.mayAppendFor(record) }) return false
         val bytes = writeRecord(record.holder, record.epoch)
         store.append(StoreTopic.DUTY, bytes, record.offset, APPEND_TIMEOUT_MS).getOrElse {
-            log.write("duty-append-for-peer-failed", "holder" to record.holder, "reason" to it.message)
+            log.write("duty-append-for-peer-failed", "holder" to record.holder.toString(), "reason" to it.message)
             if (it is StoreFailure.EndMoved) onEndMoved(record.offset, it.end)
             return it is StoreFailure.EndMoved
         }
@@ -61,7 +63,13 @@
         return true
     }
 
-    private fun DutyReport.toRecord() = DutyRecord(holder, epoch, offset)
+    private fun DutyReport.toRecord(): DutyRecord? {
+        val parsed = DutyHolder.parse(holder)
+        if (parsed == null) log.write("duty-report-unreadable", "holder" to holder)
+        return parsed?.let { DutyRecord(it, epoch, offset) }
+    }
+
+    private fun DutyRecord.toReport() = DutyReport(holder.toString(), epoch, offset)
 
     /** Ends this VM's turn. */
     fun giveUp() = synchronized(lock) { lease.giveUp() }
@@ -88,7 +96,7 @@
             lease.onAppendSent(sentAt)
             lease.ownEpoch ?: (atOffset + 1)
         }
-        val offset = store.append(StoreTopic.DUTY, writeRecord(ownName, epoch), atOffset, APPEND_TIMEOUT_MS)
+        val offset = store.append(StoreTopic.DUTY, writeRecord(own, epoch), atOffset, APPEND_TIMEOUT_MS)
             .getOrElse { return onAppendFailed(atOffset, it) }
         val isNewTurn = synchronized(lock) { lease.onAppended(sentAt, offset, epoch) }
         if (isNewTurn) log.write("duty-taken", "epoch" to epoch, "offset" to offset)
@@ -106,19 +114,20 @@
             .map { read -> read.records.mapIndexedNotNull { index, record -> readRecord(record, from + index) } }
             .getOrElse { emptyList() }
         synchronized(lock) { lease.onLogMoved(missed, maxOf(end, from + missed.size), clocks.read()) }
-        log.write("duty-log-moved", "from" to from, "end" to end, "holder" to missed.lastOrNull()?.holder)
+        log.write("duty-log-moved", "from" to from, "end" to end, "holder" to missed.lastOrNull()?.holder?.toString())
     }
 
-    private fun writeRecord(holder: String, epoch: Long) = "$epoch $holder".encodeToByteArray()
+    private fun writeRecord(holder: DutyHolder, epoch: Long) = "$epoch $holder".encodeToByteArray()
 
     private fun readRecord(bytes: ByteArray, offset: Long): DutyRecord? {
         val text = bytes.decodeToString()
         val epoch = text.substringBefore(' ').toLongOrNull()
-        if (epoch == null) {
+        val holder = DutyHolder.parse(text.substringAfter(' '))
+        if (epoch == null || holder == null) {
             log.write("duty-record-unreadable", "offset" to offset)
             return null
         }
-        return DutyRecord(text.substringAfter(' '), epoch, offset)
+        return DutyRecord(holder, epoch, offset)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -5,6 +5,9 @@
  * which is never before that record was written, waits for the validity and for the time that two holders must lie
  * apart, and then appends at the offset it knows; if the holder renewed meanwhile, that append fails.
  *
+ * A process takes over at once where the former process of its machine wrote the newest record: to engines it is the
+ * same holder, and its append succeeds only if no other VM has appended since.
+ *
  * A holder whose renewals failed goes on at once when it appends again, since success means that nobody else did.
  * While the store turns it away, it asks its peers to append its record for it; validity then counts from the first
  * try or ask for that offset, whoever's append lands.
@@ -28,7 +31,7 @@
 )
 
 /** The newest record known: [offset] is its place in the log; [epoch] numbers the turns of all holders upwards. */
-public data class DutyRecord(val holder: String, val epoch: Long, val offset: Long)
+public data class DutyRecord(val holder: DutyHolder, val epoch: Long, val offset: Long)
 
 /** What the lease asks its runtime to do. */
 public sealed interface DutyStep {
@@ -40,7 +43,7 @@
 }
 
 /** One VM's part in the lease; not safe for use by several threads. */
-public class DutyLease(private val ownName: String, private val settings: DutySettings, startedAt: ClockReading) {
+public class DutyLease(private val own: DutyHolder, private val settings: DutySettings, startedAt: ClockReading) {
     private var newest: DutyRecord? = null
     private var nextOffset = 0L
     private var learnedAt = startedAt
@@ -56,18 +59,21 @@
     public val newestRecord: DutyRecord? get() = newest
 
     /** The turn in which this VM orders. */
-    public val ownEpoch: Long? get() = newest?.takeIf { it.holder == ownName }?.epoch
+    public val ownEpoch: Long? get() = newest?.takeIf { it.holder == own }?.epoch
+
+    private val wasHeldByFormerProcess: Boolean
+        get() = newest?.let { it.holder != own && it.holder.isOnSameVm(own) } ?: false
 
     /** Whether this VM may send an order at [now]. */
     public fun mayOrder(now: ClockReading): Boolean {
         val from = validFrom ?: return false
-        return newest?.holder == ownName && now.ageOf(from) < settings.validityMs - settings.marginMs
+        return newest?.holder == own && now.ageOf(from) < settings.validityMs - settings.marginMs
     }
 
     /** Takes in a record that a peer told of at [now]. */
     public fun onRecordHeard(record: DutyRecord, now: ClockReading) {
         if (record.offset < nextOffset) return
-        val isOwnRenewal = record.holder == ownName && record.epoch == ownEpoch && record.offset == triedOffset
+        val isOwnRenewal = record.holder == own && record.epoch == ownEpoch && record.offset == triedOffset
         if (!isOwnRenewal) {
             validFrom = null
         } else if (validFrom != null) {
@@ -81,11 +87,11 @@
 
     /** Returns the record that peers should append for this VM, a holder that the store turns away; else null. */
     public fun renewalToAsk(now: ClockReading): DutyRecord? {
-        val own = newest?.takeIf { it.holder == ownName && isTurnedAway } ?: return null
+        val held = newest?.takeIf { it.holder == own && isTurnedAway } ?: return null
         val renewedAt = validFrom ?: return null
         if (now.ageOf(renewedAt) < settings.renewEveryMs) return null
         noteTry(now)
-        return DutyRecord(ownName, own.epoch, nextOffset)
+        return DutyRecord(own, held.epoch, nextOffset)
     }
 
     /** Returns whether this VM should append [asked] for its holder: it must be the next record of the newest turn. */
@@ -102,14 +108,18 @@
     public fun nextStep(now: ClockReading, rank: Int): DutyStep {
         if (appending) return DutyStep.Wait
         val sinceAppendMs = lastAppendAt?.let { now.ageOf(it) } ?: Long.MAX_VALUE
-        if (newest?.holder == ownName && validFrom != null) {
+        if (newest?.holder == own && validFrom != null) {
             return if (sinceAppendMs >= settings.renewEveryMs) DutyStep.Append(nextOffset) else DutyStep.Wait
         }
         if (sinceAppendMs < settings.renewEveryMs) return DutyStep.Wait
         val quietMs = now.steadyMs - learnedAt.steadyMs
-        val candidateMs = rank * settings.candidateGapMs
+        return if (quietMs >= quietNeededMs(rank)) DutyStep.Append(nextOffset) else DutyStep.Wait
+    }
+
+    /** How long the log must have been quiet before this VM, the candidate [rank], may append, in milliseconds. */
+    private fun quietNeededMs(rank: Int): Long {
         val waitMs = if (logIsKnown) settings.validityMs + settings.turnGapMs + settings.marginMs else FIRST_LOOK_MS
-        return if (quietMs >= waitMs + candidateMs) DutyStep.Append(nextOffset) else DutyStep.Wait
+        return if (wasHeldByFormerProcess) 0 else waitMs + rank * settings.candidateGapMs
     }
 
     /** Notes that an append was sent at [now]. */
@@ -123,7 +133,7 @@
     public fun onAppended(sentAt: ClockReading, offset: Long, epoch: Long): Boolean {
         appending = false
         val isNewTurn = ownEpoch != epoch || validFrom == null
-        newest = DutyRecord(ownName, epoch, offset)
+        newest = DutyRecord(own, epoch, offset)
         nextOffset = offset + 1
         logIsKnown = true
         learnedAt = sentAt
@@ -139,7 +149,7 @@
     public fun onLogMoved(missed: List<DutyRecord>, end: Long, now: ClockReading) {
         appending = false
         isTurnedAway = false
-        val onlyOwn = missed.isNotEmpty() && missed.all { it.holder == ownName && it.epoch == ownEpoch }
+        val onlyOwn = missed.isNotEmpty() && missed.all { it.holder == own && it.epoch == ownEpoch }
         if (!onlyOwn) {
             validFrom = null
             learnedAt = now
--- a/serving/src/test/kotlin/io/daisybend/serving/duty/DutyLeaseTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/duty/DutyLeaseTest.kt
@@ -37,10 +37,10 @@
     fun start(nowMs: Long) {
         lifetime++
         startedAtMs = nowMs
-        lease = DutyLease(name, settings, read(nowMs))
+        lease = DutyLease(holder, settings, read(nowMs))
     }
 
-    val name get() = "vm-$index#$lifetime"
+    val holder get() = DutyHolder("vm-$index", "10.0.0.$index", lifetime.toLong())
 
     fun read(nowMs: Long) = ClockReading(nowMs - suspendedMs, nowMs + wallOffsetMs)
 }
@@ -94,7 +94,7 @@
         if (next !is DutyStep.Append) return
         vm.lease.onAppendSent(clock)
         val epoch = vm.lease.ownEpoch ?: (next.atOffset + 1)
-        send(PendingAppend(vm.index, vm.lifetime, DutyRecord(vm.name, epoch, next.atOffset), clock))
+        send(PendingAppend(vm.index, vm.lifetime, DutyRecord(vm.holder, epoch, next.atOffset), clock))
     }
 
     private fun send(append: PendingAppend) {
@@ -200,7 +200,7 @@
 
     test("a holder that the store turns away asks its peers no more often than it would renew") {
         val settings = DutySettings(turnGapMs = TURN_GAP_MS)
-        val lease = DutyLease("a", settings, ClockReading(0, 0))
+        val lease = DutyLease(DutyHolder("a", "10.0.0.1", 1), settings, ClockReading(0, 0))
         lease.onAppendSent(ClockReading(1_000, 1_000))
         lease.onAppended(ClockReading(1_000, 1_000), offset = 0, epoch = 1)
         lease.onAppendSent(ClockReading(1_500, 1_500))
@@ -215,9 +215,25 @@
         (asked in 15..21) shouldBe true
     }
 
+    test("the next process of the holder's machine takes over at once, and one of another machine waits") {
+        val settings = DutySettings(turnGapMs = TURN_GAP_MS)
+        val start = ClockReading(0, 0)
+        val former = DutyRecord(DutyHolder("a", "10.0.0.1", 1), epoch = 4, offset = 7)
+        val now = ClockReading(1_000, 1_000)
+        fun stepOf(own: DutyHolder): DutyStep {
+            val lease = DutyLease(own, settings, start)
+            lease.onAppendSent(start)
+            lease.onLogMoved(listOf(former), end = 8, ClockReading(400, 400))
+            return lease.nextStep(now, rank = 0)
+        }
+        stepOf(DutyHolder("a", "10.0.0.1", 2)) shouldBe DutyStep.Append(8)
+        stepOf(DutyHolder("b", "10.0.0.2", 2)) shouldBe DutyStep.Wait
+        stepOf(DutyHolder("a", "10.0.0.9", 2)) shouldBe DutyStep.Wait
+    }
+
     test("the duty is held most of the time when nothing happens") {
         val settings = DutySettings(turnGapMs = TURN_GAP_MS)
-        val lease = DutyLease("a", settings, ClockReading(0, 0))
+        val lease = DutyLease(DutyHolder("a", "10.0.0.1", 1), settings, ClockReading(0, 0))
         var heldMs = 0L
         for (nowMs in 0L until 20_000L step STEP_MS) {
             val clock = ClockReading(nowMs, nowMs)
