Announced loads count down; victims are chosen by when their runs end; requests wait for 70 in 100 of their patience

A load that waits for weights to make way was always 1,500 ms away. - A model for which requests waited a moment could not make way at all, so a copy on the disk of its engine was passed over for a load from the store (yele547bfa at 15.6 s: 46 refusals). - The wait for a victim's runs was guessed from their number; long streams (1.1 to 4.7 s) and short ones (0.1 s) counted alike, so unloads waited up to 3.5 s while requests were refused. Ruled out: the permit of the store (available), lost reports (sent every 250 ms). Change: announcements carry the time left when they are sent; models that requests wait for may make way later; runs are predicted by their largest output and a learned pace, and the load after an unload is announced for that time. Tests: "a copy on an engine whose models are all waited for is waited for too, rather than the store", "of models with runs the one whose runs end first makes way, and the load is expected after that" (both fail without the change). Also: RequestFlow and EntryVm split by job (RequestRun, AnswerRelay, ExchangePlaces, ControlAnswers, Fleet).

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -5,33 +5,25 @@
 
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.EndpointDesk
-import io.daisybend.entry.exchange.FleetView
 import io.daisybend.entry.exchange.RequestFlow
 import io.daisybend.entry.http.Dialer
 import io.daisybend.entry.http.HttpCaller
-import io.daisybend.entry.http.RequestHead
 import io.daisybend.entry.orders.DutyRunner
-import io.daisybend.entry.orders.DutyView
 import io.daisybend.entry.orders.OrderRunner
 import io.daisybend.entry.peers.DutyReport
-import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.entry.peers.PeerLink
 import io.daisybend.entry.peers.PeerReport
 import io.daisybend.entry.peers.PeerTable
 import io.daisybend.entry.peers.TeamUseReport
-import io.daisybend.entry.peers.WantReport
 import io.daisybend.entry.peers.toHoldings
 import io.daisybend.entry.store.ConfigurationFollower
 import io.daisybend.entry.store.EndpointFollower
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
-import io.daisybend.platform.DirectoryQuestion
 import io.daisybend.platform.EngineClient
 import io.daisybend.platform.SocketAddress
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.VmSettings
-import io.daisybend.platform.readDirectoryQuestion
-import io.daisybend.platform.writeAddresses
 import io.daisybend.serving.attempt.RepeatBudgetSettings
 import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutySettings
@@ -56,7 +48,8 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** One entry VM. */
-internal class EntryVm(private val settings: VmSettings, private val clocks: ClockPair = SystemClockPair) {
+internal class EntryVm(private val settings: VmSettings, private val clocks: ClockPair = SystemClockPair) :
+    Readiness {
     private val bounds = settings.bounds
     private val startedAt = clocks.read()
     private val ownHolder = DutyHolder(settings.vm, settings.ip, startedAt.wallMs)
@@ -69,10 +62,10 @@
     private val table = EndpointTable()
     private val peers = PeerTable(settings.vm)
     private val limits = TeamLimits(onMuchUsed = ::reportSoon)
-    private val fleet = Fleet()
+    private val fleet: Fleet = Fleet(settings.vm, peers, ::steadyMs) { FleetParts(desk, duty, orders, link) }
     private val configuration = ConfigurationFollower(store, clocks, log, ::onConfiguration)
     private val endpoints = EndpointFollower(store, clocks, table, log, ::onEndpoints)
-    private val desk = EndpointDesk(
+    private val desk: EndpointDesk = EndpointDesk(
         table,
         EndpointChooser(failureDomain = settings.failureDomain),
         fleet,
@@ -90,7 +83,7 @@
         metrics,
         ::steadyMs,
     )
-    private val duty = DutyRunner(
+    private val duty: DutyRunner = DutyRunner(
         store,
         clocks,
         ownHolder,
@@ -98,12 +91,12 @@
         log,
         { candidateRank() },
     )
-    private val orders = OrderRunner(
+    private val orders: OrderRunner = OrderRunner(
         duty, EngineClient(caller), table, fleet, {
             configuration.table
         }, settings.vm, bounds.loadWindowMs, log, metrics, ::steadyMs,
     )
-    private val link = PeerLink(selector, peers, log, ::makeReport, ::onPeerReport)
+    private val link: PeerLink = PeerLink(selector, peers, log, ::makeReport, ::onPeerReport)
     private val registry = VmRegistry(
         store,
         peers,
@@ -127,7 +120,8 @@
         val callerServer = listen(settings.callerAddress)
         callerSocket = callerServer
         scope.launch { callers.accept(callerServer, scope) }
-        val control = ControlServer(log, ::answerControl)
+        val answers = ControlAnswers(settings, this, peers, configuration, metrics, ::steadyMs)
+        val control = ControlServer(log, answers::answer)
         setOf(
             settings.readinessAddress,
             settings.directoryAddress,
@@ -210,9 +204,10 @@
         orders.lookSoon()
     }
 
-    /** Whether callers should use this VM. */
-    private fun isReady(): Boolean =
-        !callers.isStopping &&
+    override val isStopping: Boolean get() = callers.isStopping
+
+    override val isReady: Boolean
+        get() = !callers.isStopping &&
             endpoints.isKnown &&
             configuration.table != null &&
             configuration.confirmationAgeMs() < bounds.revokeMs - KEY_MARGIN_MS
@@ -227,42 +222,6 @@
         return rankByRendezvous("order-duty", others + settings.vm).indexOf(settings.vm)
     }
 
-    private fun answerControl(head: RequestHead): ControlAnswer = when (
-        val question = readDirectoryQuestion(
-            head.target,
-        )
-    ) {
-        DirectoryQuestion.Readiness -> if (isReady()) ControlAnswer(STATUS_OK) else ControlAnswer(STATUS_UNAVAILABLE)
-        is DirectoryQuestion.Addresses -> answerAddresses(question)
-        DirectoryQuestion.Unknown ->
-            if (head.path ==
-                METRICS_PATH
-            ) {
-                ControlAnswer(STATUS_OK, body = metrics.text())
-            } else {
-                ControlAnswer(STATUS_NOT_FOUND)
-            }
-    }
-
-    private fun answerAddresses(question: DirectoryQuestion.Addresses): ControlAnswer {
-        val now = steadyMs()
-        val others = peers.alive(now).filter { !it.stopping }
-        val ownAge = configuration.confirmationAgeMs()
-        val freshest = minOf(ownAge, others.minOfOrNull { it.storeAgeMs } ?: Long.MAX_VALUE)
-        val oldestUsed = maxOf(USABLE_AGE_MS, freshest + USABLE_AGE_MS)
-        val usable = others.filter { it.ready && it.storeAgeMs < oldestUsed }
-            .map { it.failureDomain to SocketAddress(it.host, it.callerPort) }
-        val own = listOf(settings.failureDomain to settings.callerAddress)
-            .filter { (isReady() && ownAge < oldestUsed) || (usable.isEmpty() && !callers.isStopping) }
-        val all = usable + own
-        if (all.isEmpty()) return ControlAnswer(STATUS_UNAVAILABLE)
-        val near = all.filter { it.first == question.failureDomain }
-        val chosen = if (near.size >= MIN_NEAR_ADDRESSES) near else all
-        val body =
-            writeAddresses(chosen.map { it.second }.take(MAX_ADDRESSES), minOf(ADDRESS_TTL_MS, bounds.maxAddressTtlMs))
-        return ControlAnswer(STATUS_OK, "application/json", body)
-    }
-
     private fun makeReport(): PeerReport {
         val now = clocks.read()
         return PeerReport(
@@ -274,7 +233,7 @@
             peerPort = settings.peerPort,
             callerPort = settings.callerAddress.port,
             failureDomain = settings.failureDomain,
-            ready = isReady(),
+            ready = isReady,
             stopping = callers.isStopping,
             storeAgeMs = configuration.confirmationAgeMs(),
             hears = peers.alive(now.steadyMs).map { it.vm },
@@ -282,7 +241,7 @@
             duty = duty.newest(),
             renewal = duty.renewalToAsk(),
             holdsDuty = duty.currentTurn() != null,
-            endpoints = desk.ownUses(),
+            endpoints = desk.places.uses(),
             wants = desk.ownWants(),
             requests = desk.requestCounts(),
             holdings = if (duty.currentTurn() != null) orders.announcements() else emptyList(),
@@ -327,44 +286,8 @@
         }
     }
 
-    private inner class Fleet : FleetView, DutyView {
-        override fun peerUses(): Map<String, List<EndpointUse>> =
-            peers.alive(steadyMs()).flatMap { it.endpoints }.groupBy { it.endpoint }
-
-        override fun allUses(): Map<String, List<EndpointUse>> =
-            (peers.alive(steadyMs()).flatMap { it.endpoints } + desk.ownUses()).groupBy { it.endpoint }
-
-        override fun allWants(): List<WantReport> = peers.alive(steadyMs()).flatMap { it.wants } + desk.ownWants()
-
-        override fun allRequestCounts(): Map<String, Map<String, Int>> =
-            peers.alive(steadyMs()).associate { "${it.vm}@${it.startedAtMs}" to it.requests } +
-                (settings.vm to desk.requestCounts())
-
-        override fun loadedInMs(model: String): Long? =
-            (peers.alive(steadyMs()).flatMap { it.holdings } + orders.announcements())
-                .filter { it.loading == model }.minOfOrNull { it.loadedInMs }
-
-        override fun isDutyHeld(): Boolean =
-            duty.currentTurn() != null || peers.alive(steadyMs()).any { it.holdsDuty }
-
-        override fun vmCount(): Int = peers.all.size + 1
-
-        override fun wantsChanged() {
-            if (duty.currentTurn() != null) orders.lookSoon() else link.reportSoon()
-        }
-
-        override fun announceSoon() {
-            desk.endpointsChanged()
-            link.reportSoon()
-        }
-    }
-
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
-        const val STATUS_OK = 200
-        const val STATUS_NOT_FOUND = 404
-        const val STATUS_UNAVAILABLE = 503
-        const val METRICS_PATH = "/metrics"
 
         /** Connections that may wait to be accepted. */
         const val BACKLOG = 512
@@ -375,24 +298,12 @@
         /** Age of the configuration up to which an unknown key or route is denied, in milliseconds: one long read. */
         const val DENIAL_MS = 1_900L
 
-        /** Age of the configuration up to which callers are sent to a VM, in milliseconds: two long reads. */
-        const val USABLE_AGE_MS = 2_600L
-
         /** Age of the configuration up to which a VM may seek the order duty, in milliseconds. */
         const val CANDIDATE_AGE_MS = 2_600L
 
         /** How many VMs append a peer's renewal: one may be cut off itself. */
         const val RENEWING_PEERS = 2
 
-        /** How long callers may keep an answer of the directory, in milliseconds: a stopping VM waits as long. */
-        const val ADDRESS_TTL_MS = 2_000L
-
-        /** Fewest VMs of the caller's failure domain that make an answer of their own. */
-        const val MIN_NEAR_ADDRESSES = 2
-
-        /** The most addresses that callers heed. */
-        const val MAX_ADDRESSES = 64
-
         /** How long a stopping VM takes new requests, in milliseconds: answers of the directory have expired then. */
         const val ACCEPT_WHILE_STOPPING_MS = 2_500L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointDesk.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointDesk.kt
@@ -15,7 +15,6 @@
 import io.daisybend.serving.endpoint.EndpointLoad
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.ModelDemand
-import io.daisybend.serving.endpoint.Reservation
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
@@ -31,14 +30,6 @@
     data class Nothing(val reason: String, val retryAfterMs: Long) : Found
 }
 
-/** What one exchange takes of an endpoint. */
-internal class DeskPlace(
-    val endpoint: Endpoint,
-    val reservation: Reservation,
-    val useKeys: List<String>,
-    var prefilled: Boolean = false,
-)
-
 private data class WantKey(val service: String, val model: String, val urgency: Int)
 
 private class WaitingRequest(val sinceMs: Long)
@@ -72,9 +63,11 @@
     private val changes = MutableStateFlow(0L)
     private val changeCount = AtomicLong()
     private val waiting = ConcurrentHashMap<WantKey, ConcurrentHashMap<WaitingRequest, Unit>>()
-    private val uses = ConcurrentHashMap<String, ConcurrentHashMap<String, Int>>()
     private val budgets = ConcurrentHashMap<String, RepeatBudget>()
     private val prompts = PromptMemory()
+
+    /** What exchanges under way take of endpoints. */
+    val places = ExchangePlaces(table, prompts, steadyMs)
     private val requestCounts = ConcurrentHashMap<String, Int>()
 
     /** Wakes requests that wait: endpoints or what they hold have changed. */
@@ -181,44 +174,14 @@
         return key to request
     }
 
+    /** How much longer a request may wait for [model]: while it can still be served, and a caller should be told. */
     private fun waitLeftMs(admitted: Admitted, model: String, beganMs: Long): Long {
         val now = steadyMs()
-        val leftMs = minOf(admitted.endsAtMs - MIN_SERVICE_MS, admitted.firstEventByMs - MIN_FIRST_EVENT_MS) - now
+        val patienceMs = (admitted.firstEventByMs - admitted.arrivedAtMs) * HELD_PATIENCE_PERCENT / PERCENT
+        val leftMs = minOf(admitted.endsAtMs - MIN_SERVICE_MS, admitted.arrivedAtMs + patienceMs) - now
         val expectedMs = fleet.loadedInMs(model)
         if (expectedMs != null) return if (expectedMs < leftMs) leftMs else 0
-        val heldPatienceMs = (admitted.firstEventByMs - admitted.arrivedAtMs) * HELD_PATIENCE_PERCENT / PERCENT
-        val patienceMs = if (fleet.isDutyHeld()) heldPatienceMs else VACANT_PATIENCE_MS
-        return minOf(leftMs, beganMs + patienceMs - now)
-    }
-
-    /** Notes that an exchange with [demand] begins at [endpoint]. */
-    fun begin(endpoint: Endpoint, demand: ModelDemand?): DeskPlace {
-        val cached = demand?.let { prompts.cachedTokens(endpoint.incarnation, it) } ?: 0
-        val promptTokens = demand?.promptTokens ?: 0
-        val reservation = Reservation(
-            promptTokens = (promptTokens - cached).coerceAtLeast(0).toLong(),
-            kvTokens = promptTokens.toLong() + (demand?.maxOutputTokens ?: 0),
-        )
-        table.begin(endpoint, reservation)
-        demand?.let { prompts.read(endpoint.incarnation, it) }
-        val keys = listOfNotNull(demand?.model, demand?.adapter?.let { useKey(demand.model, it) })
-        val counts = uses.computeIfAbsent(endpoint.incarnation.id) { ConcurrentHashMap() }
-        keys.forEach { counts.merge(it, 1, Int::plus) }
-        return DeskPlace(endpoint, reservation, keys)
-    }
-
-    /** Notes the first event of an exchange. */
-    fun firstEvent(place: DeskPlace) {
-        if (place.prefilled) return
-        place.prefilled = true
-        table.firstEvent(place.endpoint, place.reservation)
-    }
-
-    /** Notes the end of an exchange. */
-    fun end(place: DeskPlace) {
-        table.end(place.endpoint, place.reservation, place.prefilled)
-        val counts = uses[place.endpoint.incarnation.id] ?: return
-        place.useKeys.forEach { key -> counts.computeIfPresent(key) { _, count -> if (count > 1) count - 1 else null } }
+        return if (fleet.isDutyHeld()) leftMs else minOf(leftMs, beganMs + VACANT_PATIENCE_MS - now)
     }
 
     /** Notes that [endpoint] answered well. */
@@ -238,17 +201,6 @@
         if (status == STATUS_UNAVAILABLE && admitted.service.engine == null) table.full(endpoint, steadyMs())
     }
 
-    /** What requests of this VM take of endpoints, for the report to the peers. */
-    fun ownUses(): List<EndpointUse> = table.all().filter { it.inFlight > 0 }.map { endpoint ->
-        EndpointUse(
-            endpoint.incarnation.id,
-            endpoint.inFlight,
-            endpoint.pendingPromptTokens,
-            endpoint.kvTokens,
-            uses[endpoint.incarnation.id].orEmpty().toMap(),
-        )
-    }
-
     /** What requests of this VM wait for, for the report to the peers. */
     fun ownWants(): List<WantReport> {
         val now = steadyMs()
@@ -267,10 +219,7 @@
         /** Time for a short run, in milliseconds: below it a request can't be served any more. */
         const val MIN_SERVICE_MS = 300L
 
-        /** Time for a first event once an engine holds the model, in milliseconds: a way, and a usual prompt. */
-        const val MIN_FIRST_EVENT_MS = 250L
-
-        /** The part of a caller's patience that a request waits for a load which nobody has announced, in percent. */
+        /** The part of a caller's patience that a request waits for a load, in percent: its prompt is read after. */
         const val HELD_PATIENCE_PERCENT = 70
         const val PERCENT = 100
 
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderRunner.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderRunner.kt
@@ -58,6 +58,9 @@
     data object Look : OrderEvent
 }
 
+/** What the peers are told of an engine since [atMs]; what it loads should be loaded at [loadedAtMs]. */
+private class Announced(val report: HoldingsReport, val atMs: Long, val loadedAtMs: Long)
+
 /** Runs the order duty. */
 internal class OrderRunner(
     private val duty: DutyRunner,
@@ -76,16 +79,17 @@
     private val reportAskedAtMs = HashMap<String, Long>()
     private val history = UseHistory()
     private val countsSeen = HashMap<String, Map<String, Int>>()
-    private val announced = ConcurrentHashMap<String, HoldingsReport>()
-    private val announcedAtMs = ConcurrentHashMap<String, Long>()
+    private val announced = ConcurrentHashMap<String, Announced>()
     private var pacer = LoadPacer(loadWindowMs)
     private var turn: Long? = null
     private var lastTurn: Long? = null
 
-    /** What engines came to hold lately, for the report to the peers. */
+    /** What engines came to hold lately or are loading, for the report to the peers. */
     fun announcements(): List<HoldingsReport> {
-        val oldest = steadyMs() - ANNOUNCE_MS
-        return announced.values.filter { (announcedAtMs[it.engine] ?: 0L) >= oldest || it.loading != null }
+        val now = steadyMs()
+        return announced.values
+            .filter { it.atMs >= now - ANNOUNCE_MS || it.report.loading != null }
+            .map { it.report.copy(loadedInMs = (it.loadedAtMs - now).coerceAtLeast(MIN_LOAD_LEFT_MS)) }
     }
 
     /** Looks at once: something that the planner heeds has changed. */
@@ -174,6 +178,7 @@
 
     private fun announce(ledger: EngineLedger) {
         val id = ledger.incarnation.id
+        val now = steadyMs()
         val load = ledger.runningLoad
         val models = ledger.holdings.models - setOfNotNull(ledger.unloading)
         val report = HoldingsReport(
@@ -182,11 +187,12 @@
             orderCount = ledger.holdings.orderCount,
             models = models.mapValues { (_, held) -> held.adapters },
             loading = load?.model ?: ledger.intendedLoad,
-            loadedInMs = load?.let { (it.expectedAtMs - steadyMs()).coerceAtLeast(0) } ?: INTENDED_LOAD_MS,
+            loadedInMs = 0,
         )
-        if (announced.put(id, report) == report) return
-        announcedAtMs[id] = steadyMs()
-        table.announce(ledger.incarnation, ledger.holdings.copy(models = models), steadyMs())
+        val before = announced[id]
+        if (before?.report == report) return
+        announced[id] = Announced(report, now, load?.expectedAtMs ?: ledger.intended?.readyAtMs ?: now)
+        table.announce(ledger.incarnation, ledger.holdings.copy(models = models), now)
         view.announceSoon()
     }
 
@@ -236,6 +242,8 @@
             ledger = ledger,
             usable = !endpoint.entry.leaving && !endpoint.isEjected(now),
             runsByModel = byKey,
+            runsEndInMs = here.flatMap { it.endsInMs.entries }.groupingBy { it.key }
+                .fold(0L) { longest, entry -> maxOf(longest, entry.value) },
             runsByAdapter = byAdapter,
             inFlight = here.sumOf { it.inFlight },
             pendingPromptTokens = here.sumOf { it.pendingPromptTokens },
@@ -318,15 +326,15 @@
         /** How long changed holdings are told, in milliseconds: until the platform's list has them. */
         const val ANNOUNCE_MS = 3_000L
 
+        /** The least time that a load under way is taken to last, in milliseconds: a copy in memory. */
+        const val MIN_LOAD_LEFT_MS = 200L
+
         /** Time between reports of one engine, in milliseconds: an engine's report lags by some 100 ms. */
         const val REPORT_EVERY_MS = 120L
 
         /** Time for the answer to an order, in milliseconds: many times the usual; it may be sent again. */
         const val ORDER_TIMEOUT_MS = 200L
 
-        /** When a load that waits for weights to make way should be done, in milliseconds: a run and a load. */
-        const val INTENDED_LOAD_MS = 1_500L
-
         /** Time for a report of an engine, in milliseconds. */
         const val CALL_TIMEOUT_MS = 500L
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -25,6 +25,8 @@
     val pendingPromptTokens: Long,
     val kvTokens: Long,
     val models: Map<String, Int>,
+    /** In how many milliseconds the last run of each model should end. */
+    val endsInMs: Map<String, Long>,
 )
 
 /** Requests of the sender that wait for a model, or for an adapter written behind a slash. */
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineLedger.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineLedger.kt
@@ -44,7 +44,10 @@
     private var changedAtMs = 0L
 
     /** The model that is to be loaded once enough weights have made way, if any. */
-    public var intendedLoad: String? = null
+    public var intended: IntendedLoad? = null
+
+    /** The model of [intended]. */
+    public val intendedLoad: String? get() = intended?.model
 
     private val loadedAtMs = HashMap<String, Long>()
     private var conflicts = 0
@@ -147,7 +150,7 @@
                 unanswered.add(UnansweredOrder(holdings.orderCount, order, nowMs))
                 needsReport = true
                 // Sent again with the same count, the order takes effect once at most.
-                if (order is EngineOrder.LoadModel) intendedLoad = order.model
+                if (order is EngineOrder.LoadModel) intended = IntendedLoad(order.model, expectedAtMs)
             }
         }
     }
@@ -167,7 +170,7 @@
             is EngineOrder.LoadModel -> {
                 runningLoad =
                     RunningLoad(order.model, expectedAtMs, nowMs, isTimed = order.source != WeightSource.STORE)
-                if (intendedLoad == order.model) intendedLoad = null
+                if (intendedLoad == order.model) intended = null
             }
             is EngineOrder.UnloadModel -> {
                 if (order.waitsForRuns) unloading = order.model
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineOrder.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineOrder.kt
@@ -50,3 +50,6 @@
     /** Whether the expected time can be relied on; else only a report shows the end. */
     val isTimed: Boolean,
 )
+
+/** A load of [model] for which weights must make way first; it should be done at [readyAtMs]. */
+public data class IntendedLoad(val model: String, val readyAtMs: Long)
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -20,6 +20,8 @@
     public val usable: Boolean,
     /** Requests under way for each model, over all VMs. */
     public val runsByModel: Map<String, Int>,
+    /** In how many milliseconds the last run of each model should end, over all VMs. */
+    public val runsEndInMs: Map<String, Long>,
     /** Requests under way for each adapter, over all VMs. */
     public val runsByAdapter: Map<AdapterKey, Int>,
     /** Requests under way, over all VMs. */
@@ -82,10 +84,8 @@
     val storeLoadLossMs: Double = 8_000.0,
     /** Part of that loss when another engine holds the model. */
     val otherReplicaShare: Double = 0.25,
-    /** Wait for the runs of a model that must make way, in milliseconds: a short run, and more for each further one. */
-    val runEndMs: Double = 400.0,
-    val furtherRunMs: Double = 350.0,
-    val longestRunEndMs: Double = 3_500.0,
+    /** The longest wait for runs to end that still counts, in milliseconds: a load from the store is no better. */
+    val longestRunEndMs: Double = 6_000.0,
     /** Time that an engine needs for a load which it has yet to begin, in milliseconds: a load from a disk. */
     val intendedLoadMs: Double = 1_000.0,
     /** Wait counted for each request under way on the engine that loads, in milliseconds. */
@@ -129,6 +129,7 @@
         private val taken = HashSet<PlannedEngine>()
         private val planned = HashMap<PlannedEngine, Double>()
         private val plannedModels = HashSet<String>()
+        private val loads = HashMap<PlannedEngine, String>()
         private val wantedModels = wants.mapTo(HashSet()) { it.model }
 
         /** Loads what weights have made way for. */
@@ -137,7 +138,7 @@
                 val model = engine.ledger.intendedLoad?.let { spec.models[it] } ?: return@forEach
                 val isHeld = engines.any { it !== engine && it.ledger.willHold(model.name) }
                 if (isHeld && model.name in wantedModels) {
-                    engine.ledger.intendedLoad = null
+                    engine.ledger.intended = null
                 } else if (engine.ledger.acceptsOrders(nowMs)) {
                     loadAt(engine, model, "goes on")
                 }
@@ -242,7 +243,10 @@
             val offer = offerOf(engine, model, spareOnly = false)?.takeIf { it.isPossibleNow } ?: return
             val victim = offer.victims.firstOrNull()
             if (victim != null) {
-                engine.ledger.intendedLoad = model.name
+                val waitMs = offer.victims.maxOf { runsLeftMs(engine, it) }.toLong()
+                val unloadsMs = offer.victims.size * EngineLedger.UNLOAD_MS
+                engine.ledger.intended =
+                    IntendedLoad(model.name, nowMs + waitMs + unloadsMs + loadMs(model, offer.source))
                 val hasRuns = (engine.runsByModel[victim] ?: 0) > 0
                 add(
                     engine,
@@ -264,12 +268,8 @@
             val victims = ArrayList<String>()
             var loss = 0.0
             var free = freeMb(engine, besides = model.name)
-            // What the engine is loading makes way later, also when requests wait for it now.
-            val candidates = (
-                engine.ledger.holdings.models.keys.filter { it !in wantedModels } +
-                    listOfNotNull(engine.ledger.loadingModel)
-                )
-                .distinct()
+            val candidates = (engine.ledger.holdings.models.keys + listOfNotNull(arrivingAt(engine)))
+                .filter { it != model.name }
                 .map { it to lossOf(engine, it) + stayLeftMs(engine, it) }
                 .sortedBy { it.second }
                 .toMutableList()
@@ -293,19 +293,25 @@
             )
         }
 
-        /** How long [model] must still stay on [engine] after its load, in milliseconds. */
+        /** The model that [engine] loads or is ordered to load. */
+        private fun arrivingAt(engine: PlannedEngine): String? = engine.ledger.loadingModel ?: loads[engine]
+
+        /** How long [model] must still stay on [engine]: after its load, and while requests wait for it. */
         private fun stayLeftMs(engine: PlannedEngine, model: String): Long {
-            if (model == engine.ledger.loadingModel) return MIN_STAY_MS
+            if (model == arrivingAt(engine) || model in wantedModels) return MIN_STAY_MS
             return engine.ledger.heldForMs(model, nowMs)?.let { (MIN_STAY_MS - it).coerceAtLeast(0) } ?: 0
         }
 
+        private fun runsLeftMs(engine: PlannedEngine, model: String): Double {
+            if ((engine.runsByModel[model] ?: 0) == 0) return 0.0
+            return (engine.runsEndInMs[model] ?: 0).coerceAtLeast(MIN_RUN_LEFT_MS).toDouble()
+        }
+
         private fun lossOf(engine: PlannedEngine, model: String): Double {
             val elsewhere = engines.any { it !== engine && model in it.ledger.holdings.models }
             val share = if (elsewhere) settings.otherReplicaShare else 1.0
             val recentMs = (RECENT_USE_MS - (nowMs - history.lastUseMs(model))).coerceAtLeast(0)
-            val runs = engine.runsByModel[model] ?: 0
-            val runsMs = if (runs == 0) 0.0 else settings.runEndMs + runs * settings.furtherRunMs
-            return runsMs.coerceAtMost(settings.longestRunEndMs) +
+            return runsLeftMs(engine, model).coerceAtMost(settings.longestRunEndMs) +
                 share *
                 (history.ratePerSecond(model, nowMs) * settings.evictionMsPerRate + recentMs * RECENT_USE_WEIGHT)
         }
@@ -332,10 +338,8 @@
             inFlight >= spec.slots
 
         private fun freeMb(engine: PlannedEngine, besides: String? = null): Double {
-            val models = (engine.ledger.countedModels() - setOfNotNull(besides)).sumOf {
-                spec.models[it]?.weightsMb
-                    ?: spec.weightsMb
-            }
+            val counted = engine.ledger.countedModels() - setOfNotNull(besides)
+            val models = counted.sumOf { spec.models[it]?.weightsMb ?: spec.weightsMb }
             val adapters = engine.ledger.countedAdapters().sumOf { adapterMb(it) }
             return spec.weightsMb - models - adapters
         }
@@ -348,6 +352,7 @@
 
         private fun add(engine: PlannedEngine, order: EngineOrder, durationMs: Long, reason: String) {
             taken.add(engine)
+            if (order is EngineOrder.LoadModel) loads[engine] = order.model
             plannedModels.add(engine.ledger.intendedLoad ?: order.model)
             orders.add(PlannedOrder(engine, order, durationMs, reason))
         }
@@ -365,6 +370,9 @@
         /** Time that an adapter takes to load, in milliseconds. */
         const val ADAPTER_LOAD_MS = 10L
 
+        /** The least time that a run under way is taken to last, in milliseconds: an event and its way. */
+        const val MIN_RUN_LEFT_MS = 50L
+
         /** Requests a second below which a model needs no second replica. */
         const val MIN_RATE_FOR_REPLICA = 0.5
 
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
@@ -15,12 +15,14 @@
     disk: Set<String> = emptySet(),
     runs: Map<String, Int> = emptyMap(),
     adapters: Map<String, Set<String>> = emptyMap(),
+    runsEndInMs: Map<String, Long> = emptyMap(),
 ): PlannedEngine {
     val holdings = EngineHoldings(3, models.associateWith { HeldModel(it, adapters[it].orEmpty()) }, onDisk = disk)
     return PlannedEngine(
         ledger = EngineLedger(Incarnation(id, 1), holdings, engineClass),
         usable = true,
         runsByModel = runs,
+        runsEndInMs = runsEndInMs,
         runsByAdapter = emptyMap(),
         inFlight = runs.values.sum(),
         pendingPromptTokens = 0,
@@ -57,6 +59,19 @@
         plan(listOf(full), emptyList()).single().order shouldBe EngineOrder.LoadModel("m5", WeightSource.DISK)
     }
 
+    test("of models with runs the one whose runs end first makes way, and the load is expected after that") {
+        val full = engine(
+            "a",
+            setOf("m1", "m2"),
+            disk = setOf("m5"),
+            runs = mapOf("m1" to 1, "m2" to 3),
+            runsEndInMs = mapOf("m1" to 3_000L, "m2" to 400L),
+        )
+        plan(listOf(full), listOf(want("m5"))).single().order shouldBe
+            EngineOrder.UnloadModel("m2", waitsForRuns = true)
+        full.ledger.intended shouldBe IntendedLoad("m5", readyAtMs = 10_000 + 400 + 50 + 1_000)
+    }
+
     test("a wanted model never makes way") {
         val full = engine("a", setOf("m1", "m2"), disk = setOf("m5"))
         plan(listOf(full), listOf(want("m5"), want("m1"), want("m2"))).shouldBeEmpty()
@@ -72,7 +87,7 @@
         loading.ledger.onSent(EngineOrder.LoadModel("m5", WeightSource.STORE))
         plan(listOf(loading, engine("b", emptySet())), listOf(want("m5"))).shouldBeEmpty()
         val decided = engine("a", setOf("m1"), runs = mapOf("m1" to 1))
-        decided.ledger.intendedLoad = "m5"
+        decided.ledger.intended = IntendedLoad("m5", 10_000)
         plan(listOf(decided, engine("b", emptySet())), listOf(want("m5"))).map {
             it.engine.ledger.incarnation.id
         } shouldBe
@@ -91,7 +106,7 @@
 
     test("a copy on an engine that is about to load something else is waited for, rather than the store") {
         val copy = engine("a", setOf("m1"), disk = setOf("m5"))
-        copy.ledger.intendedLoad = "m6"
+        copy.ledger.intended = IntendedLoad("m6", 10_000)
         val orders = plan(listOf(copy, engine("b", emptySet())), listOf(want("m5")))
         orders.none { it.order == EngineOrder.LoadModel("m5", WeightSource.STORE) } shouldBe true
     }
@@ -114,6 +129,12 @@
         plan(listOf(copy, engine("b", emptySet())), listOf(want("m5"), want("m1"), want("m2"))).shouldBeEmpty()
     }
 
+    test("a copy on an engine whose models are all waited for is waited for too, rather than the store") {
+        val full = engine("a", setOf("m1", "m2"), disk = setOf("m5"))
+        plan(listOf(full, engine("b", emptySet())), listOf(want("m5"), want("m1", "a1"), want("m2", "a1")))
+            .none { it.order is EngineOrder.LoadModel } shouldBe true
+    }
+
     test("a model on no disk is fetched ahead while nothing waits") {
         val all = modelNames.toSet()
         val order = plan(
