Bound the memory of request bodies; count lines that the log's queue can't take; read metrics in a test; drop dead code

Causes: bodies are kept whole for repeats, each up to the operators' limit, without a bound over all of them: forty bodies of 4 MB fill the heap. The queue to standard output dropped lines (2,048 waiting) that no counter told of. The metrics' text was never parsed. Lines that find no room in the queue are counted with those beyond the limit of a second.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -3,6 +3,7 @@
  */
 package io.daisybend.entry
 
+import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.EndpointDesk
 import io.daisybend.entry.exchange.RequestFlow
@@ -48,7 +49,11 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** One entry VM. */
-internal class EntryVm(private val settings: VmSettings, private val clocks: ClockPair = SystemClockPair) :
+internal class EntryVm(
+    private val settings: VmSettings,
+    private val clocks: ClockPair = SystemClockPair,
+    private val bodies: BodyMemory = BodyMemory(),
+) :
     Readiness {
     private val bounds = settings.bounds
     private val startedAt = clocks.read()
@@ -79,6 +84,7 @@
         desk,
         limits,
         FreshnessSettings(keysMs = bounds.revokeMs - KEY_MARGIN_MS, denialMs = DENIAL_MS),
+        bodies,
         log,
         metrics,
         ::steadyMs,
@@ -154,6 +160,9 @@
         metrics.gauge("daisybend_log_lines_dropped", "Log lines beyond the limit of a second") {
             log.dropped.toDouble()
         }
+        metrics.gauge("daisybend_body_bytes", "Memory that bodies of requests take, in bytes") {
+            bodies.used.toDouble()
+        }
         metrics.gauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.underWay.toDouble()
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/EventLog.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EventLog.kt
@@ -5,9 +5,12 @@
  */
 package io.daisybend.entry
 
+import ch.qos.logback.classic.AsyncAppender
+import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import ch.qos.logback.classic.Logger as LogbackLogger
 
 /** Lines that a process may write in a second; more than the design size's requests and decisions on one VM. */
 private const val MAX_LINES_PER_SECOND = 400
@@ -15,7 +18,11 @@
 private const val MILLIS_PER_SECOND = 1000L
 
 /** Writes events as JSON lines. */
-internal class EventLog(private val vm: String, private val maxLinesPerSecond: Int = MAX_LINES_PER_SECOND) {
+internal class EventLog(
+    private val vm: String,
+    private val maxLinesPerSecond: Int = MAX_LINES_PER_SECOND,
+    private val queueRoom: () -> Int = ::roomInLogQueue,
+) {
     private val logger = LoggerFactory.getLogger("daisybend")
     private val second = AtomicLong()
     private val linesInSecond = AtomicInteger()
@@ -26,7 +33,7 @@
 
     /** Writes one line for [event] with [fields]; fields that are null are left out. */
     fun write(event: String, vararg fields: Pair<String, Any?>) {
-        if (!takeLine()) {
+        if (!takeLine() || queueRoom() == 0) {
             droppedLines.incrementAndGet()
             return
         }
@@ -46,3 +53,10 @@
         const val NANOS_PER_MILLI = 1_000_000L
     }
 }
+
+/** Returns how many lines the queue to the output takes before it drops any. */
+private fun roomInLogQueue(): Int {
+    val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as? LogbackLogger ?: return Int.MAX_VALUE
+    val queue = root.getAppender("ASYNC") as? AsyncAppender ?: return Int.MAX_VALUE
+    return queue.remainingCapacity
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
@@ -53,6 +53,7 @@
     private val desk: EndpointDesk,
     private val teams: TeamLimits,
     private val freshness: FreshnessSettings,
+    private val bodies: BodyMemory,
     private val log: EventLog,
     private val metrics: Metrics,
     private val steadyMs: () -> Long,
@@ -152,7 +153,8 @@
         log.write("request-unreadable", "status" to status, "reason" to reason)
         metrics.unreadable.inc()
         connection.mustClose = true
-        connection.answer(status, emptyList(), ByteArray(0))
+        val headers = if (status == STATUS_UNAVAILABLE) listOf(retryAfter(NO_ROOM_RETRY_MS)) else emptyList()
+        connection.answer(status, headers, ByteArray(0))
         withTimeoutOrNull(DRAIN_MS) { connection.drain() }
         return false
     }
@@ -169,10 +171,15 @@
             throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
         }
         if (head.expectsContinue) connection.inviteBody()
-        val body =
-            withTimeoutOrNull(BODY_TIMEOUT_MS) { BodyReader(connection.source, framing).readAll(limits.maxBodyBytes) }
-                ?: return refuseUnreadable(connection, STATUS_REQUEST_TIMEOUT, "body not read in time")
-        return serveWhole(connection, head, body, arrivedAtMs)
+        val share = bodies.share()
+        try {
+            val body = withTimeoutOrNull(BODY_TIMEOUT_MS) {
+                BodyReader(connection.source, framing).readAll(limits.maxBodyBytes, share::take)
+            } ?: return refuseUnreadable(connection, STATUS_REQUEST_TIMEOUT, "body not read in time")
+            return serveWhole(connection, head, body, arrivedAtMs)
+        } finally {
+            share.giveBack()
+        }
     }
 
     private suspend fun serveWhole(
@@ -267,7 +274,7 @@
             "reason" to reason,
             "retryAfterMs" to retryAfterMs,
             "version" to configuration.table?.configuration?.version,
-            "configurationAgeMs" to configuration.confirmationAgeMs(),
+            "configurationAgeMs" to configuration.confirmationAgeMs().takeIf { it != Long.MAX_VALUE },
         )
         metrics.refused(status)
         val headers = listOfNotNull(attemptId?.let(::attemptIdHeader), retryAfterMs?.let(::retryAfter))
@@ -289,6 +296,9 @@
         /** What callers are told to wait when this VM lost the store, in milliseconds: others take them at once. */
         const val UNCONFIRMED_RETRY_MS = 50L
 
+        /** What callers are told to wait when bodies take all their memory, in milliseconds: some short runs. */
+        const val NO_ROOM_RETRY_MS = 300L
+
         const val ACCEPT_RETRY_MS = 20L
         const val MAX_STACK_CHARS = 4_000
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointDesk.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointDesk.kt
@@ -195,10 +195,9 @@
     /** Notes that [endpoint] can't be reached. */
     fun unreachable(endpoint: Endpoint) = table.unreachable(endpoint, steadyMs())
 
-    /** Notes that [endpoint] refused [admitted] with [status]. */
-    fun rejected(endpoint: Endpoint, status: Int, admitted: Admitted) {
+    /** Notes that [endpoint] refused [admitted]. */
+    fun rejected(endpoint: Endpoint, admitted: Admitted) {
         admitted.caller.demand?.let { table.refusedModel(endpoint, useKey(it.model, it.adapter), steadyMs()) }
-        if (status == STATUS_UNAVAILABLE && admitted.service.engine == null) table.full(endpoint, steadyMs())
     }
 
     /** What requests of this VM wait for, for the report to the peers. */
@@ -214,8 +213,6 @@
     fun requestCounts(): Map<String, Int> = requestCounts.toMap()
 
     private companion object {
-        const val STATUS_UNAVAILABLE = 503
-
         /** Time for a short run, in milliseconds: below it a request can't be served any more. */
         const val MIN_SERVICE_MS = 300L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestRun.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestRun.kt
@@ -175,7 +175,7 @@
         if (isOtherInstance(status) && admitted.caller.demand == null) {
             desk.unreachable(endpoint)
         } else {
-            desk.rejected(endpoint, status, admitted)
+            desk.rejected(endpoint, admitted)
         }
         val outcome = SendOutcome.RejectedUnrun(status, answer.meaning.retryAfterMs)
         return SendResult(outcome, "status $status, not run")
--- a/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
@@ -85,14 +85,15 @@
     }
 }
 
-/** Returns the whole rest of the body; throws when it is larger than [maxBytes]. */
-internal suspend fun BodyReader.readAll(maxBytes: Int): ByteArray {
+/** Returns the whole rest of the body; throws when it is larger than [maxBytes] or [take] has no room for a piece. */
+internal suspend fun BodyReader.readAll(maxBytes: Int, take: (Int) -> Boolean = { true }): ByteArray {
     val pieces = ArrayList<ByteArray>()
     var size = 0
     while (true) {
         val piece = next() ?: break
         size += piece.size
         if (size > maxBytes) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
+        if (!take(piece.size)) throw MalformedMessageException(MalformedMessage.NO_ROOM)
         pieces.add(piece)
     }
     if (pieces.size == 1) return pieces[0]
--- a/entry/src/main/kotlin/io/daisybend/entry/http/MessageHead.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/MessageHead.kt
@@ -11,6 +11,7 @@
     BAD_REQUEST(400, "malformed request"),
     HEAD_TOO_LARGE(431, "request head too large"),
     BODY_TOO_LARGE(413, "request body too large"),
+    NO_ROOM(503, "no room for the request's body"),
     UNSUPPORTED_CODING(501, "unsupported transfer coding"),
     UNSUPPORTED_VERSION(505, "unsupported protocol version"),
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderRunner.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderRunner.kt
@@ -48,7 +48,7 @@
     /** Requests for models and adapters of all VMs since their starts, by VM and start. */
     fun allRequestCounts(): Map<String, Map<String, Int>>
 
-    /** Whether the platform's traffic has begun: then waiting requests come before fetching ahead. */
+    /** Tells the peers at once what engines have come to hold. */
     fun announceSoon()
 }
 
--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -1,6 +1,7 @@
 package io.daisybend.entry
 
 import com.github.michaelbull.result.getOrElse
+import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.http.BodyReader
 import io.daisybend.entry.http.ByteSource
 import io.daisybend.entry.http.ResponseHead
@@ -20,6 +21,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.ktor.network.selector.SelectorManager
@@ -89,6 +91,7 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val callerPort = freePort()
     private val readyPort = freePort()
+    private val metricsPort = freePort()
     lateinit var vm: EntryVm
 
     suspend fun start(): Site {
@@ -106,12 +109,12 @@
             listen.front=127.0.0.1:$callerPort
             listen.readiness=127.0.0.1:$readyPort
             listen.directory=127.0.0.1:${freePort()}
-            portRange=0,0
+            portRange=0,$metricsPort
             platform.address=127.0.0.1:$storePort
             bounds.budgetExtra=50
             bounds.graceS=3
         """.trimIndent()
-        vm = EntryVm(readVmSettings(settings).getOrElse { error(it.message) })
+        vm = EntryVm(readVmSettings(settings).getOrElse { error(it.message) }, bodies = BodyMemory(limitBytes = 10_000))
         vm.start(scope)
         return this
     }
@@ -139,6 +142,8 @@
     private suspend fun connect(port: Int) =
         CallerStandIn(aSocket(selector).tcp().connect(InetSocketAddress("127.0.0.1", port)))
 
+    suspend fun metrics() = connect(metricsPort).call("GET", "/metrics").body
+
     suspend fun isReady() = connect(readyPort).call("GET", "/daisybend/readyz").status == 200
 
     fun allDo(behaviour: Behaviour) = endpoints.forEach { it.behaviours.add(behaviour) }
@@ -293,6 +298,31 @@
         }
     }
 
+    test("a body for which there is no room is refused as not run, and requests with room are served") {
+        withSite {
+            configure()
+            val large = connect().call("POST", "/once/x", "b".repeat(20_000))
+            large.status shouldBe 503
+            large.head.headers.any { it.name == "Retry-After" } shouldBe true
+            large.head.keepAlive shouldBe false
+            ran.shouldBeEmpty()
+            repeat(3) { connect().call("POST", "/once/x", "b".repeat(9_000)).status shouldBe 200 }
+        }
+    }
+
+    test("the metrics of a VM that served, refused and failed requests are in the Prometheus text format") {
+        withSite {
+            configure()
+            connect().call("GET", "/safe/x").status shouldBe 200
+            connect().call("GET", "/none/").status shouldBe 404
+            val samples = readMetrics(metrics())
+            samples.getValue("daisybend_requests_total{kind=\"idempotent\",status=\"200\"}") shouldBeGreaterThan 0.0
+            samples.getValue("daisybend_refusals_total{status=\"404\"}") shouldBe 1.0
+            samples.getValue("daisybend_request_seconds_count{kind=\"idempotent\"}") shouldBeGreaterThan 0.0
+            samples.getValue("daisybend_log_lines_dropped") shouldBe 0.0
+        }
+    }
+
     test("malformed and oversized requests get their own answer and touch no other") {
         withSite {
             configure()
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
@@ -33,7 +33,6 @@
 
     internal var consecutiveFailures = 0
     internal var ejectedUntilMs = 0L
-    internal var fullUntilMs = 0L
     internal var announcedUntilMs = Long.MIN_VALUE
     internal val refusedUntilMs = HashMap<String, Long>()
 
@@ -42,9 +41,6 @@
 
     /** Whether the endpoint may get no new work at [nowMs] because of what exchanges showed. */
     public fun isEjected(nowMs: Long): Boolean = nowMs < ejectedUntilMs
-
-    /** Whether the endpoint refused work for lack of room a moment before [nowMs]. */
-    public fun isFull(nowMs: Long): Boolean = nowMs < fullUntilMs
 }
 
 /** What an exchange takes of an endpoint while it runs. */
@@ -58,8 +54,6 @@
     val firstEjectionMs: Long = 500,
     /** The longest time without work, in milliseconds: one heartbeat and its lag. */
     val maxEjectionMs: Long = 4_000,
-    /** Time without work after a refusal for lack of room, in milliseconds: about one short request. */
-    val fullMs: Long = 60,
     /** Time in which a model that an engine refused to run is not asked of it again, in milliseconds. */
     val refusedModelMs: Long = 150,
     /** How far the platform's list may lag behind an announcement, in milliseconds: a heartbeat and a read. */
@@ -165,11 +159,6 @@
     public fun hasRefused(endpoint: Endpoint, model: String, nowMs: Long): Boolean =
         synchronized(lock) { nowMs < (endpoint.refusedUntilMs[model] ?: Long.MIN_VALUE) }
 
-    /** Notes that [endpoint] refused work for lack of room at [nowMs]. */
-    public fun full(endpoint: Endpoint, nowMs: Long): Unit = synchronized(lock) {
-        endpoint.fullUntilMs = nowMs + settings.fullMs
-    }
-
     private companion object {
         const val MAX_DOUBLINGS = 4
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/LoadPacer.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/LoadPacer.kt
@@ -5,9 +5,6 @@
  */
 package io.daisybend.serving.residency
 
-/** The limit on loads from the weight store. */
-public data class LoadRate(val loadsPerSecond: Double, val windowMs: Long)
-
 /** Counts the loads that began; not safe for use by several threads. */
 public class LoadPacer(private val windowMs: Long) {
     private val begun = ArrayDeque<Long>()
