--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -98,9 +98,16 @@
         { candidateRank() },
     )
     private val orders: OrderRunner = OrderRunner(
-        duty, EngineClient(caller), table, fleet, {
-            configuration.table
-        }, settings.vm, bounds.loadWindowMs, log, metrics, ::steadyMs,
+        duty,
+        EngineClient(caller),
+        table,
+        fleet,
+        configuration = { configuration.table },
+        ownName = settings.vm,
+        loadWindowMs = bounds.loadWindowMs,
+        log,
+        metrics,
+        ::steadyMs,
     )
     private val link: PeerLink = PeerLink(selector, peers, log, ::makeReport, ::onPeerReport)
     private val registry = VmRegistry(
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/DutyRunner.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/DutyRunner.kt
@@ -78,13 +78,7 @@
     suspend fun run() {
         while (true) {
             val candidate = rank()
-            val step = if (candidate ==
-                null
-            ) {
-                DutyStep.Wait
-            } else {
-                synchronized(lock) { lease.nextStep(clocks.read(), candidate) }
-            }
+            val step = candidate?.let { synchronized(lock) { lease.nextStep(clocks.read(), it) } } ?: DutyStep.Wait
             if (step is DutyStep.Append) append(step.atOffset)
             delay(LOOK_EVERY_MS)
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderRunner.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderRunner.kt
@@ -208,9 +208,8 @@
             engines.forEach { refreshIfNeeded(scope, it.ledger, now) }
             val available = pacer.available(now, spec.loadsPerSecond)
             val serviceWants = wants.filter { it.service == service.name }.map(::toWant)
-            val orders = ResidencyPlanner(
-                spec,
-            ).plan(engines, serviceWants, history, available, fetchAhead = true, nowMs = now)
+            val planner = ResidencyPlanner(spec)
+            val orders = planner.plan(engines, serviceWants, history, available, fetchAhead = true, nowMs = now)
             orders.forEach { send(scope, it, epoch, now) }
         }
         val known = table.all().mapTo(HashSet()) { it.incarnation.id }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -187,20 +187,10 @@
                 val holders = engines.filter { model.name in it.ledger.holdings.models }
                 if (holders.isEmpty() || history.ratePerSecond(model.name, nowMs) < MIN_RATE_FOR_REPLICA) return@forEach
                 if (model.name in plannedModels || !holders.all { it.isOverloaded() }) return@forEach
-                if (engines.any {
-                        it.ledger.willHold(model.name) && model.name !in it.ledger.holdings.models
-                    }
-                ) {
-                    return@forEach
-                }
-                loadSomewhere(
-                    model,
-                    "all replicas are overloaded",
-                    onlyAtHand = true,
-                    lighterThan = holders.minOf {
-                        it.delayMs()
-                    },
-                )
+                val isComing = engines.any { it !in holders && it.ledger.willHold(model.name) }
+                if (isComing) return@forEach
+                val lightestMs = holders.minOf { it.delayMs() }
+                loadSomewhere(model, "all replicas are overloaded", onlyAtHand = true, lighterThan = lightestMs)
             }
         }
 
