Measure the work that grows with the fleet, and how late timers fire

Each activity is now counted with its time and bytes (daisybend_work_*_total), and a log line every two seconds shows what was added and how late timers fire. No decision changes.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -60,6 +60,7 @@
     private val ownHolder = DutyHolder(settings.vm, settings.ip, startedAt.wallMs)
     private val log = EventLog(settings.vm)
     private val metrics = Metrics()
+    private val load = LoadMonitor(log, metrics, ::steadyMs)
     private val selector = SelectorManager(Dispatchers.IO)
     private val connectionPool = ConnectionPool(selector, ::steadyMs)
     private val httpClient = PooledHttpClient(connectionPool)
@@ -71,12 +72,13 @@
         VmComponents(endpointPool, leaseManager, orderController, peerLink)
     }
     private val configuration = ConfigurationWatcher(store, clocks, log, ::onConfigurationChanged)
-    private val endpointWatcher = EndpointWatcher(store, clocks, table, log, ::onEndpointsChanged)
+    private val endpointWatcher = EndpointWatcher(store, clocks, table, log, load, ::onEndpointsChanged)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
         EndpointChooser(failureDomain = settings.failureDomain),
         fleet,
         RetryBudgetSettings(bounds.budgetWindowMs, bounds.budgetRatio, bounds.budgetExtra),
+        load,
         ::steadyMs,
     )
     private val requestHandler = RequestHandler(connectionPool, endpointPool, teamRateLimiter, log, metrics, ::steadyMs)
@@ -108,10 +110,11 @@
         ownVm = settings.vm,
         loadWindowMs = bounds.loadWindowMs,
         log,
+        load,
         metrics,
         ::steadyMs,
     )
-    private val peerLink: PeerLink = PeerLink(selector, peers, log, ::buildReport, ::onPeerReport)
+    private val peerLink: PeerLink = PeerLink(selector, peers, log, load, ::buildReport, ::onPeerReport)
     private val registry = VmRegistry(
         store,
         peers,
@@ -152,6 +155,7 @@
         scope.launch { leaseManager.run() }
         scope.launch { orderController.run(scope) }
         scope.launch { runMaintenance() }
+        scope.launch { load.run() }
         registerGauges()
         log.write("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerAddress.toString())
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
@@ -5,6 +5,7 @@
 
 import io.daisybend.serving.site.RouteKind
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -54,6 +55,13 @@
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
     }
 
+    /** Registers counters that call [values] on each scrape, which returns the value for each value of [label]. */
+    fun addCounters(name: String, help: String, label: String, values: () -> Map<String, Double>) {
+        CounterWithCallback.builder().name(name).help(help).labelNames(label)
+            .callback { callback -> values().forEach { (labelValue, value) -> callback.call(value, labelValue) } }
+            .register(registry)
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     fun text(): String {
         val bytes = ByteArrayOutputStream()
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -4,6 +4,8 @@
  */
 package io.daisybend.entry.exchange
 
+import io.daisybend.entry.Activity
+import io.daisybend.entry.LoadMonitor
 import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.entry.peers.QueuedDemandReport
 import io.daisybend.entry.peers.modelKey
@@ -61,6 +63,7 @@
     private val chooser: EndpointChooser,
     private val fleet: FleetView,
     private val budgetSettings: RetryBudgetSettings,
+    private val load: LoadMonitor,
     private val steadyMs: () -> Long,
 ) {
     private val changes = MutableStateFlow(0L)
@@ -137,7 +140,10 @@
     fun hasAlternative(admitted: AdmittedRequest, exclude: Set<String>): Boolean =
         choose(admitted, exclude) is EndpointChoice.Send
 
-    private fun choose(admitted: AdmittedRequest, exclude: Set<String>): EndpointChoice {
+    private fun choose(admitted: AdmittedRequest, exclude: Set<String>): EndpointChoice =
+        load.measure(Activity.CHOOSE_ENDPOINT) { chooseNow(admitted, exclude) }
+
+    private fun chooseNow(admitted: AdmittedRequest, exclude: Set<String>): EndpointChoice {
         val now = steadyMs()
         val all = table.ofService(admitted.service.name)
         val model = admitted.caller.demand?.let { modelKey(it.model, it.adapter) }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -7,7 +7,9 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.onFailure
+import io.daisybend.entry.Activity
 import io.daisybend.entry.EventLog
+import io.daisybend.entry.LoadMonitor
 import io.daisybend.entry.Metrics
 import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.entry.peers.HoldingsReport
@@ -77,6 +79,7 @@
     private val ownVm: String,
     private val loadWindowMs: Long,
     private val log: EventLog,
+    private val load: LoadMonitor,
     private val metrics: Metrics,
     private val steadyMs: () -> Long,
 ) {
@@ -111,7 +114,7 @@
             while (true) handle(events.tryReceive().getOrNull() ?: break)
             val current = leaseManager.currentEpoch()
             if (current != activeEpoch) onEpochChanged(current)
-            if (current != null) reconcile(scope, current)
+            if (current != null) load.measure(Activity.PLAN_ORDERS) { reconcile(scope, current) }
         }
     }
 
@@ -185,20 +188,20 @@
     private fun announce(tracker: EngineTracker) {
         val id = tracker.incarnation.id
         val now = steadyMs()
-        val load = tracker.runningLoad
+        val runningLoad = tracker.runningLoad
         val models = tracker.holdings.models - setOfNotNull(tracker.unloadingModel)
         val report = HoldingsReport(
             engine = id,
             bornMs = tracker.incarnation.bornMs,
             orderCount = tracker.holdings.orderCount,
             models = models.mapValues { (_, held) -> held.adapters },
-            loading = load?.model ?: tracker.pendingModel,
+            loading = runningLoad?.model ?: tracker.pendingModel,
             loadedInMs = 0,
         )
         val previous = announcementsByEngine[id]
         if (previous?.report == report) return
         announcementsByEngine[id] =
-            Announcement(report, now, load?.expectedAtMs ?: tracker.pendingLoad?.readyAtMs ?: now)
+            Announcement(report, now, runningLoad?.expectedAtMs ?: tracker.pendingLoad?.readyAtMs ?: now)
         table.announce(tracker.incarnation, tracker.holdings.copy(models = models), now)
         fleet.announceSoon()
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -5,7 +5,9 @@
 
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
+import io.daisybend.entry.Activity
 import io.daisybend.entry.EventLog
+import io.daisybend.entry.LoadMonitor
 import io.daisybend.kernel.decodeCbor
 import io.daisybend.kernel.encodeCbor
 import io.ktor.network.selector.SelectorManager
@@ -27,6 +29,7 @@
     private val selector: SelectorManager,
     private val peers: PeerTable,
     private val log: EventLog,
+    private val load: LoadMonitor,
     private val buildReport: () -> PeerReport,
     private val onReport: (PeerReport) -> Unit,
 ) {
@@ -44,7 +47,7 @@
         scope.launch {
             while (true) {
                 withTimeoutOrNull(PeerTimeouts.REPORT_INTERVAL_MS) { reportRequested.receive() }
-                sendToAllPeers(socket)
+                load.measure(Activity.SEND_REPORTS) { sendToAllPeers(socket) }
                 delay(MIN_SEND_INTERVAL_MS)
             }
         }
@@ -54,6 +57,7 @@
         val bytes = encodeCbor(PeerReport.serializer(), buildReport())
         peers.all.forEach { peer ->
             try {
+                load.countBytes(Activity.SEND_REPORTS, bytes.size)
                 val packet = Buffer().apply { write(bytes) }
                 socket.send(Datagram(packet, InetSocketAddress(peer.address.host, peer.address.port)))
             } catch (cancelled: CancellationException) {
@@ -67,9 +71,13 @@
     private suspend fun receiveLoop(socket: BoundDatagramSocket) {
         while (true) {
             try {
-                decodeCbor(PeerReport.serializer(), socket.receive().packet.readByteArray())
-                    .onSuccess(onReport)
-                    .onFailure { log.write("peer-report-unreadable", "reason" to it.message) }
+                val bytes = socket.receive().packet.readByteArray()
+                load.countBytes(Activity.APPLY_REPORT, bytes.size)
+                load.measure(Activity.APPLY_REPORT) {
+                    decodeCbor(PeerReport.serializer(), bytes)
+                        .onSuccess(onReport)
+                        .onFailure { log.write("peer-report-unreadable", "reason" to it.message) }
+                }
             } catch (cancelled: CancellationException) {
                 throw cancelled
             } catch (failed: Exception) {
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -6,7 +6,9 @@
 package io.daisybend.entry.store
 
 import com.github.michaelbull.result.getOrElse
+import io.daisybend.entry.Activity
 import io.daisybend.entry.EventLog
+import io.daisybend.entry.LoadMonitor
 import io.daisybend.platform.KeyedRecord
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.StoreFailure
@@ -24,6 +26,7 @@
     private val clocks: ClockPair,
     private val table: EndpointTable,
     private val log: EventLog,
+    private val load: LoadMonitor,
     private val onChange: () -> Unit,
 ) {
     private var nextOffset: Long? = null
@@ -86,7 +89,8 @@
         ).getOrElse { failure ->
             return if (failure is StoreFailure.RecordsGone) readSnapshot() else failure
         }
-        read.records.mapNotNull(::readKeyedRecord).forEach(::applyRecord)
+        load.countBytes(Activity.READ_ENDPOINTS, read.records.sumOf { it.size })
+        load.measure(Activity.READ_ENDPOINTS) { read.records.mapNotNull(::readKeyedRecord).forEach(::applyRecord) }
         nextOffset = read.nextOffset
         return null
     }
