Let the fake store end a long poll on time on a busy machine

The log of that run has "no answer within 1900 ms" for long polls of 1,200 ms: the fake counted each delay(5) as 5 ms, and with the machine busy 240 of them took over 1.9 s, so the VM rightly held its configuration for unconfirmed. The fake now waits by the clock. The test is unchanged.

--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
@@ -52,11 +52,8 @@
     }
 
     private suspend fun read(call: FakeServerCall, topic: String, from: Int, waitMs: Long) {
-        var remainingMs = waitMs
-        while (remainingMs > 0 && synchronized(logs) { (logs[topic]?.size ?: 0) <= from }) {
-            delay(5)
-            remainingMs -= 5
-        }
+        val waitEndNanos = System.nanoTime() + waitMs * NANOS_PER_MILLI
+        while (System.nanoTime() < waitEndNanos && synchronized(logs) { (logs[topic]?.size ?: 0) <= from }) delay(5)
         val records = synchronized(logs) { logs[topic].orEmpty().drop(from) }
         val body = ByteBuffer.allocate(16 + records.sumOf { 4 + it.size })
         body.putLong(from + records.size.toLong()).putLong(0)
@@ -76,4 +73,8 @@
             """{"items":[${items.joinToString(",")}],"more":false,"end":${records.size}}""".encodeToByteArray(),
         )
     }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+    }
 }
