--- /dev/null
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -0,0 +1,169 @@
+/*
+ * A small site for tests of an entry VM: the VM itself, a fake store, two fake endpoints, and callers.
+ */
+package io.daisybend.entry.standin
+
+import com.github.michaelbull.result.getOrElse
+import io.daisybend.entry.EntryVm
+import io.daisybend.entry.exchange.BodyMemory
+import io.daisybend.entry.http.BodyReader
+import io.daisybend.entry.http.ByteSource
+import io.daisybend.entry.http.ResponseHead
+import io.daisybend.entry.http.encodeHead
+import io.daisybend.entry.http.parseResponseHead
+import io.daisybend.entry.http.readAll
+import io.daisybend.entry.http.readHeadLines
+import io.daisybend.entry.http.writeAll
+import io.daisybend.platform.Header
+import io.daisybend.platform.readVmSettings
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.matchers.shouldBe
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import java.io.IOException
+import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns an unused port below the ephemeral port range. */
+internal fun freePort(): Int = generateSequence { Random.nextInt(12_000, 32_000) }
+    .first { port -> runCatching { ServerSocket(port).close() }.isSuccess }
+
+internal class Response(val head: ResponseHead, val body: String) {
+    val status get() = head.status
+}
+
+/** A caller's connection. */
+internal class TestCaller(private val socket: Socket) {
+    private val source = ByteSource(socket.openReadChannel())
+    private val sink = socket.openWriteChannel()
+
+    suspend fun send(
+        method: String,
+        path: String,
+        body: String = "",
+        key: String? = "k1",
+        id: String = nextId(),
+        model: String? = null,
+    ) {
+        val headers = listOfNotNull(
+            model?.let { Header("X-Daisybend-Model", it) },
+            Header("Host", "site.example"),
+            Header("X-Daisybend-Attempt-Id", id),
+            key?.let { Header("X-Api-Key", it) },
+            Header("Content-Length", body.length.toString()),
+        )
+        sink.writeAll(encodeHead("$method $path HTTP/1.1", headers), body.encodeToByteArray())
+    }
+
+    suspend fun read(): Response {
+        val head = parseResponseHead(source.readHeadLines(8_192) ?: throw IOException("closed"), "GET")
+        return Response(head, BodyReader(source, head.framing).readAll(100_000).decodeToString())
+    }
+
+    suspend fun call(method: String, path: String, body: String = "", key: String? = "k1"): Response {
+        send(method, path, body, key)
+        return read()
+    }
+
+    fun close() = socket.close()
+
+    companion object {
+        private val ids = AtomicInteger()
+
+        fun nextId() = "id-${ids.incrementAndGet()}"
+    }
+}
+
+/** A site with one VM, a store and two endpoints. */
+internal class Site(val scope: CoroutineScope) {
+    val store = FakeStore()
+    val endpoints = listOf(FakeEndpoint("e-1"), FakeEndpoint("e-2"))
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val callerPort = freePort()
+    private val readyPort = freePort()
+    private val metricsPort = freePort()
+
+    /** UDP port on which the VM receives the reports of its peers. */
+    val peerPort = freePort()
+    lateinit var vm: EntryVm
+
+    /** Starts the fakes and the VM; [moreSettings] are further lines of its settings file. */
+    suspend fun start(vararg moreSettings: String): Site {
+        val storePort = FakeServer(scope, store::handle).start(selector).port
+        endpoints.forEach { endpoint ->
+            val port = FakeServer(scope, endpoint::handle).start(selector).port
+            val address = """"address":"127.0.0.1:$port","zone":"north""""
+            store.put("keyed.servers", endpoint.id, """{"service":"s1",$address,"slots":6,"state":"ready","born":1}""")
+        }
+        val settings = """
+            nodeName=vm-1
+            ip=127.0.0.1
+            zone=north
+            region=home
+            listen.front=127.0.0.1:$callerPort
+            listen.readiness=127.0.0.1:$readyPort
+            listen.directory=127.0.0.1:${freePort()}
+            portRange=$peerPort,$metricsPort
+            platform.address=127.0.0.1:$storePort
+            bounds.budgetExtra=50
+            bounds.graceS=3
+        """.trimIndent()
+        vm = EntryVm(
+            readVmSettings((settings.lines() + moreSettings).joinToString("\n")).getOrElse { error(it.message) },
+            bodyMemory = BodyMemory(limitBytes = 10_000),
+        )
+        vm.start(scope)
+        return this
+    }
+
+    suspend fun configure(version: Int = 1, keys: String = "\"k1\""): Site {
+        store.put("keyed.op", "config", configurationOf(version, keys))
+        eventually(10.seconds) { connect().call("GET", "/safe/x").status shouldBe 200 }
+        endpoints.forEach { it.ran.clear() }
+        return this
+    }
+
+    fun configurationOf(version: Int, keys: String) =
+        """{"version":$version,"routes":[${route(
+            "safe",
+            "safe",
+        )},${route("once", "unsafe")},${route("stream", "streaming")}],
+        "services":[{"name":"s1","maxConns":100}],"tenants":[{"name":"red","apiKeys":[$keys]}]}"""
+
+    private fun route(name: String, kind: String) =
+        """{"name":"$name","host":"site.example","pathPrefix":"/$name/","routeType":"$kind","timeoutMs":3000,
+        "targetLatencyMs":200,"priority":1,"service":"s1","maxAttempts":2,"resumable":${kind == "streaming"}}"""
+
+    suspend fun connect() = connect(callerPort)
+
+    private suspend fun connect(port: Int) =
+        TestCaller(aSocket(selector).tcp().connect(InetSocketAddress("127.0.0.1", port)))
+
+    suspend fun metrics() = connect(metricsPort).call("GET", "/metrics").body
+
+    suspend fun isReady() = connect(readyPort).call("GET", "/daisybend/readyz").status == 200
+
+    fun queueForAll(behaviour: Behaviour) = endpoints.forEach { it.behaviours.add(behaviour) }
+
+    val ran get() = endpoints.flatMap { it.ran }
+}
+
+/** Runs [check] at a new site, whose VM has [moreSettings], and stops the site. */
+internal suspend fun withSite(vararg moreSettings: String, check: suspend Site.() -> Unit) {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    try {
+        Site(scope).start(*moreSettings).check()
+    } finally {
+        scope.cancel()
+    }
+}
