Bound the number and the size of the reports between VMs

What callers saw: on a fleet of 65 VMs about a third of the requests refused, most of them with 429 although their teams were within their rates, and models never served (SHORT).

Cause: each VM sent its whole state to each peer every 250 ms, and again for each admitted request, each waiting request and each order. Both the number of reports that a VM received and the size of one grew with the fleet. Ruled out: planning (64 ms in two seconds on the holder) and the choice of endpoints (4 ms); timers were late by 4 ms in the median, 201 ms at most.

Change: the interval grows with the fleet, so that a VM receives at most 100 regular reports a second; early reports wait until the last round has used its share of the link and the processor; queued demand, counts of requests and run ends go only to the holder of the order duty; uses of teams and holdings are contained only while they change, in three reports; a new peer or one that was out of contact gets a complete report. When peers fall silent, the refill that was granted while they were not known to be silent is withdrawn. The encoding is unchanged: VMs of the last build read the reports.

Also: waiting requests no longer combine the reports of all peers to find that no engine holds their model, one read of the endpoint list wakes them once, and planning takes at most half of the holder's time.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -12,9 +12,13 @@
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
 import io.daisybend.entry.peers.DutyReport
+import io.daisybend.entry.peers.LoadForecast
 import io.daisybend.entry.peers.PeerLink
 import io.daisybend.entry.peers.PeerReport
 import io.daisybend.entry.peers.PeerTable
+import io.daisybend.entry.peers.ReportEffect
+import io.daisybend.entry.peers.ReportPurpose
+import io.daisybend.entry.peers.ReportSchedule
 import io.daisybend.entry.peers.TeamUseReport
 import io.daisybend.entry.peers.toHoldings
 import io.daisybend.entry.store.ConfigurationWatcher
@@ -66,9 +70,11 @@
     private val httpClient = PooledHttpClient(connectionPool)
     private val store = StoreClient(httpClient, settings.storeAddress)
     private val table = EndpointTable()
-    private val peers = PeerTable(settings.vm)
+    private val reportSchedule = ReportSchedule(settings.linkMbps)
+    private val peers = PeerTable(settings.vm, reportSchedule)
+    private val loadForecast = LoadForecast()
     private val teamRateLimiter = TeamRateLimiter(requestEarlyReport = ::reportSoon)
-    private val fleet: Fleet = Fleet(settings.vm, peers, ::steadyMs) {
+    private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
         VmComponents(endpointPool, leaseManager, orderController, peerLink)
     }
     private val configuration = ConfigurationWatcher(store, clocks, log, ::onConfigurationChanged)
@@ -114,7 +120,11 @@
         metrics,
         ::steadyMs,
     )
-    private val peerLink: PeerLink = PeerLink(selector, peers, log, load, ::buildReport, ::onPeerReport)
+    private val peerLink: PeerLink =
+        PeerLink(selector, peers, reportSchedule, log, load, ::steadyMs, ::buildReport, ::onPeerReport)
+
+    /** Times of the last broadcasts to the peers; each change is contained in that many. */
+    private val broadcastTimesMs = ArrayDeque<Long>()
     private val registry = VmRegistry(
         store,
         peers,
@@ -217,7 +227,8 @@
             val now = steadyMs()
             connectionPool.closeExpired()
             peers.removeExpired(now)
-            teamRateLimiter.setFleet(peers.all.size + 1, peers.unreachableShare(now), now)
+            loadForecast.removeOverdue(now)
+            teamRateLimiter.setContact(peers.contact(now), now)
         }
     }
 
@@ -252,8 +263,10 @@
         return rankByRendezvous("order-duty", others + settings.vm).indexOf(settings.vm)
     }
 
-    private fun buildReport(): PeerReport {
+    private fun buildReport(purpose: ReportPurpose): PeerReport {
         val now = clocks.read()
+        val isBroadcast = purpose == ReportPurpose.BROADCAST
+        val changedSinceMs = if (isBroadcast) startBroadcast(now.steadyMs) else null
         return PeerReport(
             vm = settings.vm,
             startedAtMs = startedAt.wallMs,
@@ -266,25 +279,38 @@
             ready = isReady,
             stopping = callers.isStopping,
             storeAgeMs = configuration.confirmationAgeMs(),
-            alivePeers = peers.aliveReports(now.steadyMs).map { it.vm },
-            teams = teamRateLimiter.report().map { (team, use) -> TeamUseReport(team, use.admitted, use.level) },
+            alivePeers = emptyList(),
+            teams = (if (isBroadcast) teamRateLimiter.reportChanges() else teamRateLimiter.usage()).map { (team, use) -> TeamUseReport(team, use.admitted, use.level) },
             duty = leaseManager.newestRecord(),
             renewal = leaseManager.renewalToDelegate(),
             holdsDuty = leaseManager.currentEpoch() != null,
             endpoints = endpointPool.exchanges.endpointUses(),
             queuedDemand = endpointPool.queuedDemand(),
-            requests = endpointPool.requestCounts(),
-            holdings = if (leaseManager.currentEpoch() != null) orderController.announcements() else emptyList(),
+            requests = endpointPool.requestCounts(peers.repeatWindowMs),
+            holdings =
+            if (leaseManager.currentEpoch() != null) orderController.announcements(changedSinceMs) else emptyList(),
         )
     }
 
+    /** Records a broadcast at [nowMs]; returns since when the changes are that it must contain. */
+    private fun startBroadcast(nowMs: Long): Long {
+        val changedSinceMs = broadcastTimesMs.firstOrNull()?.takeIf { broadcastTimesMs.size == ReportSchedule.REPEATS }
+        broadcastTimesMs.addLast(nowMs)
+        if (broadcastTimesMs.size > ReportSchedule.REPEATS) broadcastTimesMs.removeFirst()
+        return changedSinceMs ?: 0
+    }
+
     private fun onPeerReport(report: PeerReport) {
         val now = steadyMs()
-        val isNewPeer = peers.all.none { it.vm == report.vm && it.report?.startedAtMs == report.startedAtMs }
-        if (!peers.onReport(report, now)) return
-        if (isNewPeer) {
-            log.write("peer-joined", "peer" to report.vm, "startedAtMs" to report.startedAtMs)
-            peerLink.reportSoon()
+        when (peers.onReport(report, now)) {
+            ReportEffect.OUTDATED -> return
+            ReportEffect.UPDATED -> Unit
+            ReportEffect.PROCESS_FOUND -> {
+                log.write("peer-joined", "peer" to report.vm, "startedAtMs" to report.startedAtMs)
+                peerLink.reportCompletelyTo(report.vm)
+            }
+            // The peer may have missed changes that later reports don't repeat.
+            ReportEffect.CONTACT_GAINED -> peerLink.reportCompletelyTo(report.vm)
         }
         val isPeerOlder = report.uptimeMs > now - startedAt.steadyMs + OLDER_PEER_MARGIN_MS
         teamRateLimiter.onPeerUsage(
@@ -300,6 +326,7 @@
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
         if (report.holdings.isNotEmpty()) {
+            loadForecast.onHoldings(report.holdings, now)
             report.holdings.forEach { table.announce(Incarnation(it.engine, it.bornMs), it.toHoldings(), now) }
             endpointPool.onEndpointsChanged()
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
@@ -9,6 +9,7 @@
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
 import io.daisybend.entry.peers.EndpointUse
+import io.daisybend.entry.peers.LoadForecast
 import io.daisybend.entry.peers.PeerLink
 import io.daisybend.entry.peers.PeerTable
 import io.daisybend.entry.peers.QueuedDemandReport
@@ -25,6 +26,7 @@
 internal class Fleet(
     private val ownVm: String,
     private val peers: PeerTable,
+    private val loadForecast: LoadForecast,
     private val steadyMs: () -> Long,
     private val components: () -> VmComponents,
 ) : FleetView, FleetDemandView {
@@ -33,8 +35,18 @@
     private val orderController get() = components().orderController
     private val peerLink get() = components().peerLink
 
-    override fun peerUses(): Map<String, List<EndpointUse>> =
-        peers.aliveReports(steadyMs()).flatMap { it.endpoints }.groupBy { it.endpoint }
+    private class PeerUses(val byEndpoint: Map<String, List<EndpointUse>>, val computedAtMs: Long)
+
+    @Volatile
+    private var peerUses: PeerUses? = null
+
+    override fun peerUses(): Map<String, List<EndpointUse>> {
+        val now = steadyMs()
+        val known = peerUses?.takeIf { now - it.computedAtMs < MAX_PEER_USES_AGE_MS }
+            ?: PeerUses(peers.aliveReports(now).flatMap { it.endpoints }.groupBy { it.endpoint }, now)
+                .also { peerUses = it }
+        return known.byEndpoint
+    }
 
     override fun allUses(): Map<String, List<EndpointUse>> =
         (peers.aliveReports(steadyMs()).flatMap { it.endpoints } + endpointPool.exchanges.endpointUses())
@@ -45,23 +57,30 @@
 
     override fun allRequestCounts(): Map<String, Map<String, Int>> =
         peers.aliveReports(steadyMs()).associate { "${it.vm}@${it.startedAtMs}" to it.requests } +
-            (ownVm to endpointPool.requestCounts())
+            (ownVm to endpointPool.requestCounts(peers.repeatWindowMs))
 
-    override fun loadedInMs(model: String): Long? =
-        (peers.aliveReports(steadyMs()).flatMap { it.holdings } + orderController.announcements())
-            .filter { it.loading == model }.minOfOrNull { it.loadedInMs }
+    override fun loadedInMs(model: String): Long? = if (leaseManager.currentEpoch() != null) {
+        orderController.loadedInMs(model)
+    } else {
+        loadForecast.loadedInMs(model, steadyMs())
+    }
 
     override fun isDutyHeld(): Boolean =
         leaseManager.currentEpoch() != null || peers.aliveReports(steadyMs()).any { it.holdsDuty }
 
-    override fun vmCount(): Int = peers.all.size + 1
+    override fun vmCount(): Int = peers.vmCount
 
     override fun onDemandChanged() {
-        if (leaseManager.currentEpoch() != null) orderController.reconcileSoon() else peerLink.reportSoon()
+        if (leaseManager.currentEpoch() != null) orderController.reconcileSoon() else peerLink.reportDemandSoon()
     }
 
     override fun announceSoon() {
         endpointPool.onEndpointsChanged()
         peerLink.reportSoon()
     }
+
+    private companion object {
+        /** How long the combined uses of the peers are kept, in milliseconds: well below the interval of reports. */
+        const val MAX_PEER_USES_AGE_MS = 25L
+    }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -36,6 +36,8 @@
 
 private class WaitingRequest(val sinceMs: Long)
 
+private class RequestCount(val count: Int, val lastAtMs: Long)
+
 /** State of the fleet that endpoint selection depends on. */
 internal interface FleetView {
     /** Returns the current use of endpoints by the peers, by endpoint id. */
@@ -74,7 +76,7 @@
 
     /** Requests of this VM in progress at endpoints. */
     val exchanges = ExchangeTracker(table, promptCache, steadyMs)
-    private val requestCounts = ConcurrentHashMap<String, Int>()
+    private val requestCounts = ConcurrentHashMap<String, RequestCount>()
 
     /** Wakes waiting requests after endpoints or their holdings have changed. */
     fun onEndpointsChanged() {
@@ -85,8 +87,13 @@
     fun recordRequest(service: String, demand: ModelDemand?) {
         budget(service).onRequest(steadyMs())
         if (demand == null) return
-        requestCounts.merge(demand.model, 1, Int::plus)
-        demand.adapter?.let { requestCounts.merge(modelKey(demand.model, it), 1, Int::plus) }
+        countRequest(demand.model)
+        demand.adapter?.let { countRequest(modelKey(demand.model, it)) }
+    }
+
+    private fun countRequest(modelKey: String) {
+        val now = steadyMs()
+        requestCounts.compute(modelKey) { _, known -> RequestCount((known?.count ?: 0) + 1, now) }
     }
 
     /** Takes one retry for [service] from its retry budget; returns false if the budget is exhausted. */
@@ -152,7 +159,7 @@
                 (model == null || !table.hasRefusedModel(it, model, now))
         }
         if (endpoints.isEmpty() && all.isNotEmpty() && model != null) return EndpointChoice.NotHeld
-        val peerUses = fleet.peerUses()
+        val peerUses by lazy(LazyThreadSafetyMode.NONE) { fleet.peerUses() }
         val load = { endpoint: Endpoint -> loadOf(endpoint, peerUses) }
         val demand = admitted.caller.demand
         val engine = admitted.service.engine
@@ -236,8 +243,11 @@
         }
     }
 
-    /** Requests for each model and adapter since the start of this VM. */
-    fun requestCounts(): Map<String, Int> = requestCounts.toMap()
+    /** Returns the requests since the start of this VM for each model and adapter requested in the last [windowMs]. */
+    fun requestCounts(windowMs: Long): Map<String, Int> {
+        val sinceMs = steadyMs() - windowMs
+        return requestCounts.filterValues { it.lastAtMs >= sinceMs }.mapValues { it.value.count }
+    }
 
     private companion object {
         /** Duration of a short request, in milliseconds; with less time left a request cannot be served. */
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -35,6 +35,7 @@
 import io.daisybend.serving.site.RouteTable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
@@ -48,8 +49,8 @@
     fun allQueuedDemand(): List<QueuedDemandReport>
 
     /**
-     * Returns the number of requests for models and adapters since the start of each VM; the outer key names the VM and
-     * its start.
+     * Returns the number of requests since the start of each VM for the models and adapters that were requested lately;
+     * the outer key names the VM and its start.
      */
     fun allRequestCounts(): Map<String, Map<String, Int>>
 
@@ -87,20 +88,36 @@
     private val trackers = HashMap<String, EngineTracker>()
     private val reportRequestedAtMs = HashMap<String, Long>()
     private val usageHistory = UsageHistory()
-    private val lastRequestCounts = HashMap<String, Map<String, Int>>()
+    private val lastRequestCounts = HashMap<String, HashMap<String, Int>>()
     private val announcementsByEngine = ConcurrentHashMap<String, Announcement>()
     private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
     private var activeEpoch: Long? = null
     private var lastEpoch: Long? = null
 
-    /** Returns recently changed holdings and loads in progress, for the report to the peers. */
-    fun announcements(): List<HoldingsReport> {
+    /**
+     * Returns the holdings that changed at [changedSinceMs] or later, for the report to the peers; null returns all
+     * recently changed holdings and loads in progress.
+     */
+    fun announcements(changedSinceMs: Long?): List<HoldingsReport> {
         val now = steadyMs()
         return announcementsByEngine.values
-            .filter { it.announcedAtMs >= now - ANNOUNCEMENT_LIFETIME_MS || it.report.loading != null }
-            .map { it.report.copy(loadedInMs = (it.loadedAtMs - now).coerceAtLeast(MIN_REMAINING_LOAD_MS)) }
+            .filter {
+                if (changedSinceMs != null) it.announcedAtMs >= changedSinceMs else it.isCurrent(now)
+            }
+            .map { it.report.copy(loadedInMs = it.loadedInMs(now)) }
+    }
+
+    /** Returns the time until the first load of [model] ends, in milliseconds, or null if none is in progress. */
+    fun loadedInMs(model: String): Long? {
+        val now = steadyMs()
+        return announcementsByEngine.values.filter { it.report.loading == model }.minOfOrNull { it.loadedInMs(now) }
     }
 
+    private fun Announcement.isCurrent(now: Long) =
+        announcedAtMs >= now - ANNOUNCEMENT_LIFETIME_MS || report.loading != null
+
+    private fun Announcement.loadedInMs(now: Long) = (loadedAtMs - now).coerceAtLeast(MIN_REMAINING_LOAD_MS)
+
     /** Requests an early planning round, because an input of the planner has changed. */
     fun reconcileSoon() {
         events.trySend(OrderEvent.WakeUp)
@@ -114,7 +131,11 @@
             while (true) handle(events.tryReceive().getOrNull() ?: break)
             val current = leaseManager.currentEpoch()
             if (current != activeEpoch) onEpochChanged(current)
-            if (current != null) load.measure(Activity.PLAN_ORDERS) { reconcile(scope, current) }
+            if (current == null) continue
+            val startedAtMs = steadyMs()
+            load.measure(Activity.PLAN_ORDERS) { reconcile(scope, current) }
+            // Planning takes at most half of the time, so that it leaves the rest to requests.
+            delay(steadyMs() - startedAtMs)
         }
     }
 
@@ -310,9 +331,10 @@
 
     private fun recordUsage(now: Long) {
         fleet.allRequestCounts().forEach { (vm, counts) ->
-            val previousCounts = lastRequestCounts.put(vm, counts) ?: return@forEach
+            val knownCounts = lastRequestCounts.getOrPut(vm) { HashMap() }
             counts.forEach { (key, count) ->
-                val added = count - (previousCounts[key] ?: 0)
+                // A count that is not known yet may contain old requests; only the last one is certainly recent.
+                val added = knownCounts.put(key, count)?.let { count - it } ?: 1
                 if (added > 0) usageHistory.recordUse(key, added, now)
             }
         }
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
@@ -0,0 +1,38 @@
+/*
+ * The loads in progress that the holder of the order duty announces. A report contains only what changed lately, so
+ * the announcements are kept here.
+ */
+package io.daisybend.entry.peers
+
+import java.util.concurrent.ConcurrentHashMap
+
+/** Announced loads by engine; thread-safe. */
+internal class LoadForecast {
+    private data class ExpectedLoad(val model: String, val endsAtMs: Long)
+
+    private val loadsByEngine = ConcurrentHashMap<String, ExpectedLoad>()
+
+    /** Applies the [holdings] of a report received at [nowMs]. */
+    fun onHoldings(holdings: List<HoldingsReport>, nowMs: Long) = holdings.forEach { held ->
+        if (held.loading == null) {
+            loadsByEngine.remove(held.engine)
+        } else {
+            loadsByEngine[held.engine] = ExpectedLoad(held.loading, nowMs + held.loadedInMs)
+        }
+    }
+
+    /** Returns the time until the first load of [model] ends, in milliseconds, or null if no load is known. */
+    fun loadedInMs(model: String, nowMs: Long): Long? = loadsByEngine.values
+        .filter { it.model == model && nowMs < it.endsAtMs + OVERDUE_MS }
+        .minOfOrNull { (it.endsAtMs - nowMs).coerceAtLeast(0) }
+
+    /** Removes loads whose end was not announced in time, because the report was lost or the holder has ended. */
+    fun removeOverdue(nowMs: Long) {
+        loadsByEngine.values.removeIf { nowMs >= it.endsAtMs + OVERDUE_MS }
+    }
+
+    private companion object {
+        /** How long a load may take beyond its expected end, in milliseconds: loads slow each other down. */
+        const val OVERDUE_MS = 3_000L
+    }
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -1,5 +1,6 @@
 /*
- * Sends the report of this VM to all peers, at a fixed interval and early when requested, and receives their reports.
+ * Sends the reports of this VM to its peers, at the interval of the schedule and early when requested, and receives
+ * their reports.
  */
 package io.daisybend.entry.peers
 
@@ -20,42 +21,105 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
 
+/** What a report is for, which decides what it contains. */
+internal enum class ReportPurpose {
+    /** Tells all peers what changed since the last reports. */
+    BROADCAST,
+
+    /** Tells one peer the complete state. */
+    COMPLETE,
+}
+
 /** Exchanges reports with the peers by UDP. */
 internal class PeerLink(
     private val selector: SelectorManager,
     private val peers: PeerTable,
+    private val schedule: ReportSchedule,
     private val log: EventLog,
     private val load: LoadMonitor,
-    private val buildReport: () -> PeerReport,
+    private val steadyMs: () -> Long,
+    private val buildReport: (ReportPurpose) -> PeerReport,
     private val onReport: (PeerReport) -> Unit,
 ) {
-    private val reportRequested = Channel<Unit>(Channel.CONFLATED)
+    private val broadcastRequested = Channel<Unit>(Channel.CONFLATED)
+    private val demandChanged = Channel<Unit>(Channel.CONFLATED)
+    private val uninformedPeers = Channel<String>(Channel.UNLIMITED)
 
-    /** Sends a report before the next regular one is due. */
+    /** Peers ignore a report that overtakes a later one, so reports are built and sent one after the other. */
+    private val sending = Mutex()
+
+    /** Sends a report to all peers before the next regular one is due. */
     fun reportSoon() {
-        reportRequested.trySend(Unit)
+        broadcastRequested.trySend(Unit)
+    }
+
+    /** Sends a report to the holder of the order duty before the next regular one is due. */
+    fun reportDemandSoon() {
+        demandChanged.trySend(Unit)
+    }
+
+    /** Sends a complete report to the peer [vm], which may know nothing of this VM. */
+    fun reportCompletelyTo(vm: String) {
+        uninformedPeers.trySend(vm)
     }
 
     /** Starts sending and receiving at [host]:[port]. */
     suspend fun start(scope: CoroutineScope, host: String, port: Int) {
         val socket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
         scope.launch { receiveLoop(socket) }
+        scope.launch { broadcastLoop(socket) }
         scope.launch {
             while (true) {
-                withTimeoutOrNull(PeerTimeouts.REPORT_INTERVAL_MS) { reportRequested.receive() }
-                load.measure(Activity.SEND_REPORTS) { sendToAllPeers(socket) }
-                delay(MIN_SEND_INTERVAL_MS)
+                demandChanged.receive()
+                load.measure(Activity.SEND_REPORTS) { sendComplete(socket, peers.all.filter { it.holdsDuty }) }
+                delay(schedule.demandPauseMs(peers.vmCount))
             }
         }
+        scope.launch {
+            while (true) {
+                val peer = peers.find(uninformedPeers.receive()) ?: continue
+                load.measure(Activity.SEND_REPORTS) { sendComplete(socket, listOf(peer)) }
+            }
+        }
+    }
+
+    private suspend fun broadcastLoop(socket: BoundDatagramSocket) {
+        var sentAtMs = steadyMs()
+        while (true) {
+            val dueMs = sentAtMs + schedule.intervalMs(peers.vmCount)
+            withTimeoutOrNull(dueMs - steadyMs()) { broadcastRequested.receive() }
+            sentAtMs = steadyMs()
+            val sentBytes = load.measure(Activity.SEND_REPORTS) { broadcast(socket) }
+            delay(schedule.pauseMs(sentBytes, steadyMs() - sentAtMs))
+        }
     }
 
-    private suspend fun sendToAllPeers(socket: BoundDatagramSocket) {
-        val bytes = encodeCbor(PeerReport.serializer(), buildReport())
-        peers.all.forEach { peer ->
+    private suspend fun broadcast(socket: BoundDatagramSocket): Long = sending.withLock {
+        val complete = buildReport(ReportPurpose.BROADCAST)
+        val brief = complete.withoutDemand()
+        val (holders, others) = peers.all.partition { it.holdsDuty }
+        // Each group has its own encoding, which tells its members alone that the sender receives their reports.
+        holders.sumOf { send(socket, complete, listOf(it)) } +
+            others.chunked(GROUP_SIZE).sumOf { send(socket, brief, it) }
+    }
+
+    private suspend fun sendComplete(socket: BoundDatagramSocket, recipients: List<Peer>) {
+        if (recipients.isEmpty()) return
+        sending.withLock { send(socket, buildReport(ReportPurpose.COMPLETE), recipients) }
+    }
+
+    /** Sends [report] to [recipients]; returns the number of bytes sent. */
+    private suspend fun send(socket: BoundDatagramSocket, report: PeerReport, recipients: List<Peer>): Long {
+        val now = steadyMs()
+        val alive = recipients.filter { peers.isAlive(it, now) }.map { it.vm }
+        val bytes = encodeCbor(PeerReport.serializer(), report.copy(alivePeers = alive))
+        recipients.forEach { peer ->
             try {
                 load.countBytes(Activity.SEND_REPORTS, bytes.size)
                 val packet = Buffer().apply { write(bytes) }
@@ -66,6 +130,7 @@
                 log.write("peer-send-failed", "peer" to peer.vm, "reason" to failed.message)
             }
         }
+        return bytes.size.toLong() * recipients.size
     }
 
     private suspend fun receiveLoop(socket: BoundDatagramSocket) {
@@ -82,13 +147,16 @@
                 throw cancelled
             } catch (failed: Exception) {
                 log.write("peer-receive-failed", "reason" to failed.message)
-                delay(MIN_SEND_INTERVAL_MS)
+                delay(RECEIVE_RETRY_MS)
             }
         }
     }
 
     private companion object {
-        /** Minimum interval between two reports, in milliseconds. */
-        const val MIN_SEND_INTERVAL_MS = 8L
+        /** Recipients that share one encoding of a report. */
+        const val GROUP_SIZE = 8
+
+        /** Pause after a failed receive, in milliseconds. */
+        const val RECEIVE_RETRY_MS = 8L
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -1,6 +1,7 @@
 /*
- * Report of one VM to its peers, encoded as CBOR in one datagram. Each report contains the complete state of the
- * sender, so a lost report only delays it until the next one.
+ * Report of one VM to its peers, encoded as CBOR in one datagram. The state of the sender is complete in each report.
+ * Uses of teams and holdings of engines are contained while they change and in the next reports, so that a lost report
+ * only delays them. Only the holder of the order duty gets what it plans with.
  */
 package io.daisybend.entry.peers
 
@@ -69,6 +70,7 @@
     val ready: Boolean,
     val stopping: Boolean,
     val storeAgeMs: Long,
+    /** Those recipients of this report from which the sender receives reports. */
     @SerialName("hears")
     val alivePeers: List<String>,
     val teams: List<TeamUseReport>,
@@ -79,10 +81,18 @@
     val endpoints: List<EndpointUse>,
     @SerialName("wants")
     val queuedDemand: List<QueuedDemandReport>,
+    /** Requests since the start of the sender, for the models and adapters that were requested lately. */
     val requests: Map<String, Int>,
     val holdings: List<HoldingsReport>,
 )
 
+/** Returns this report without what only the holder of the order duty uses. */
+internal fun PeerReport.withoutDemand(): PeerReport = copy(
+    endpoints = endpoints.map { it.copy(models = emptyMap(), endsInMs = emptyMap()) },
+    queuedDemand = emptyList(),
+    requests = emptyMap(),
+)
+
 /** Returns the reported holdings; the report does not contain the copies in host memory and on disk. */
 internal fun HoldingsReport.toHoldings(): EngineHoldings =
     EngineHoldings(orderCount, models.mapValues { (name, adapters) -> HeldModel(name, adapters) })
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
@@ -6,28 +6,9 @@
 package io.daisybend.entry.peers
 
 import io.daisybend.platform.SocketAddress
+import io.daisybend.serving.rates.FleetContact
 import java.util.concurrent.ConcurrentHashMap
 
-/** Timing of peer reports and of failure detection. */
-internal object PeerTimeouts {
-    /** Interval between reports, in milliseconds. */
-    const val REPORT_INTERVAL_MS = 250L
-
-    /** A peer without reports for this long is not alive, in milliseconds: four reports, some of which may be lost. */
-    const val ALIVE_TIMEOUT_MS = 1_200L
-
-    /**
-     * A peer without reports for this long may use rates that this VM does not see, in milliseconds: two lost reports.
-     */
-    const val MUTUAL_TIMEOUT_MS = 800L
-
-    /**
-     * A peer without reports for this long is removed, in milliseconds. A VM that is cut off refuses all keys long
-     * before.
-     */
-    const val EXPIRY_MS = 30_000L
-}
-
 /** A peer and its newest report. */
 internal class Peer(val vm: String, val address: SocketAddress, var discoveredAtMs: Long) {
     @Volatile
@@ -35,14 +16,39 @@
 
     @Volatile
     var lastReportAtMs: Long = Long.MIN_VALUE / 2
+
+    /** Whether the peer reported that it holds the order duty. */
+    val holdsDuty: Boolean get() = report?.holdsDuty == true
+}
+
+/** What a received report changed. */
+internal enum class ReportEffect {
+    /** The report is not newer than the stored one. */
+    OUTDATED,
+    UPDATED,
+
+    /** The report is the first one of a process. */
+    PROCESS_FOUND,
+
+    /** The sender and this VM receive each other's reports again, or for the first time. */
+    CONTACT_GAINED,
 }
 
 /** Peers known to this VM. */
-internal class PeerTable(private val ownVm: String) {
+internal class PeerTable(private val ownVm: String, private val schedule: ReportSchedule) {
     private val peers = ConcurrentHashMap<String, Peer>()
 
     val all: Collection<Peer> get() = peers.values
 
+    /** Number of VMs, including this one. */
+    val vmCount: Int get() = peers.size + 1
+
+    /** How long a change is contained in regular reports, in milliseconds. */
+    val repeatWindowMs: Long get() = schedule.repeatWindowMs(vmCount)
+
+    /** Returns the peer [vm], or null. */
+    fun find(vm: String): Peer? = peers[vm]
+
     /** Adds or updates the peer [vm] at [address]. */
     fun discover(vm: String, address: SocketAddress, nowMs: Long) {
         if (vm == ownVm) return
@@ -50,39 +56,60 @@
         if (known == null || known.address != address) peers[vm] = Peer(vm, address, nowMs)
     }
 
-    /** Stores [report]; returns false if it is not newer than the stored one. */
-    fun onReport(report: PeerReport, nowMs: Long): Boolean {
+    /** Stores [report] unless it is outdated. */
+    fun onReport(report: PeerReport, nowMs: Long): ReportEffect {
         discover(report.vm, SocketAddress(report.host, report.peerPort), nowMs)
-        val peer = peers[report.vm] ?: return false
+        val peer = peers[report.vm] ?: return ReportEffect.OUTDATED
         val known = peer.report
+        val isSameProcess = known?.startedAtMs == report.startedAtMs
         val isOutdated = known != null &&
-            (
-                report.startedAtMs < known.startedAtMs ||
-                    (report.startedAtMs == known.startedAtMs && report.sequence <= known.sequence)
-                )
-        if (isOutdated) return false
+            (report.startedAtMs < known.startedAtMs || (isSameProcess && report.sequence <= known.sequence))
+        if (isOutdated) return ReportEffect.OUTDATED
+        val wasReachable = isMutuallyReachable(peer, nowMs, schedule.mutualTimeoutMs(vmCount))
         peer.report = report
         peer.lastReportAtMs = nowMs
-        return true
+        return when {
+            !isSameProcess -> ReportEffect.PROCESS_FOUND
+            !wasReachable && ownVm in report.alivePeers -> ReportEffect.CONTACT_GAINED
+            else -> ReportEffect.UPDATED
+        }
     }
 
     /** Returns the newest reports of the peers that are alive at [nowMs]. */
-    fun aliveReports(nowMs: Long): List<PeerReport> =
-        peers.values.filter { nowMs - it.lastReportAtMs < PeerTimeouts.ALIVE_TIMEOUT_MS }.mapNotNull { it.report }
-
-    /**
-     * Returns the share of all VMs that are not mutually reachable from this one; VMs that are stopping do not count.
-     */
-    fun unreachableShare(nowMs: Long): Double {
-        val silent = peers.values.count { peer -> !isMutuallyReachable(peer, nowMs) && peer.report?.stopping != true }
-        return silent / (peers.size + 1.0)
+    fun aliveReports(nowMs: Long): List<PeerReport> {
+        val timeoutMs = schedule.aliveTimeoutMs(vmCount)
+        return peers.values.filter { nowMs - it.lastReportAtMs < timeoutMs }.mapNotNull { it.report }
     }
 
-    private fun isMutuallyReachable(peer: Peer, nowMs: Long) =
-        nowMs - peer.lastReportAtMs < PeerTimeouts.MUTUAL_TIMEOUT_MS && ownVm in peer.report?.alivePeers.orEmpty()
+    /** Returns whether [peer] is alive at [nowMs]. */
+    fun isAlive(peer: Peer, nowMs: Long): Boolean = nowMs - peer.lastReportAtMs < schedule.aliveTimeoutMs(vmCount)
 
-    /** Removes peers without reports for [PeerTimeouts.EXPIRY_MS]. */
+    /** Returns the contact of this VM with its peers at [nowMs]; VMs that are stopping are not out of contact. */
+    fun contact(nowMs: Long): FleetContact {
+        val timeoutMs = schedule.mutualTimeoutMs(vmCount)
+        val unreachable =
+            peers.values.filter { !isMutuallyReachable(it, nowMs, timeoutMs) && it.report?.stopping != true }
+        return FleetContact(
+            vmCount = vmCount,
+            unreachableShare = unreachable.size / vmCount.toDouble(),
+            lostShare = unreachable.count { it.report != null } / vmCount.toDouble(),
+            detectionMs = timeoutMs,
+        )
+    }
+
+    private fun isMutuallyReachable(peer: Peer, nowMs: Long, timeoutMs: Long) =
+        nowMs - peer.lastReportAtMs < timeoutMs && ownVm in peer.report?.alivePeers.orEmpty()
+
+    /** Removes peers without reports for [EXPIRY_MS]. */
     fun removeExpired(nowMs: Long) {
-        peers.values.removeIf { nowMs - maxOf(it.lastReportAtMs, it.discoveredAtMs) > PeerTimeouts.EXPIRY_MS }
+        peers.values.removeIf { nowMs - maxOf(it.lastReportAtMs, it.discoveredAtMs) > EXPIRY_MS }
+    }
+
+    private companion object {
+        /**
+         * A peer without reports for this long is removed, in milliseconds. A VM that is cut off refuses all keys long
+         * before.
+         */
+        const val EXPIRY_MS = 30_000L
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -72,7 +72,7 @@
     private suspend fun readSnapshot(): StoreFailure? {
         val newest = store.readNewest(StoreTopic.ENDPOINTS, RESPONSE_TIMEOUT_MS).getOrElse { return it }
         val records = newest.records
-        records.forEach(::applyRecord)
+        applyRecords(records)
         val listed = records.filter { it.value != null }.mapTo(HashSet()) { it.key }
         table.all().map { it.incarnation.id }.filter { it !in listed }.forEach(::onMissing)
         nextOffset = newest.nextOffset
@@ -90,11 +90,16 @@
             return if (failure is StoreFailure.RecordsGone) readSnapshot() else failure
         }
         load.countBytes(Activity.READ_ENDPOINTS, read.records.sumOf { it.size })
-        load.measure(Activity.READ_ENDPOINTS) { read.records.mapNotNull(::readKeyedRecord).forEach(::applyRecord) }
+        load.measure(Activity.READ_ENDPOINTS) { applyRecords(read.records.mapNotNull(::readKeyedRecord)) }
         nextOffset = read.nextOffset
         return null
     }
 
+    private fun applyRecords(records: List<KeyedRecord>) {
+        records.forEach(::applyRecord)
+        if (records.isNotEmpty()) onChange()
+    }
+
     private fun applyRecord(record: KeyedRecord) {
         val text = record.value ?: return onMissing(record.key)
         val entry = readEndpoint(record.key, text).getOrElse {
@@ -114,7 +119,6 @@
             )
         }
         if (entry.isDraining && old?.entry?.isDraining != true) log.write("endpoint-leaving", "endpoint" to record.key)
-        onChange()
     }
 
     /**
--- a/entry/src/test/kotlin/io/daisybend/entry/PeerTrafficTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/PeerTrafficTest.kt
@@ -1,6 +1,7 @@
 package io.daisybend.entry
 
 import io.daisybend.entry.peers.PeerReport
+import io.daisybend.entry.peers.peerReport
 import io.daisybend.entry.standin.Site
 import io.daisybend.entry.standin.withSite
 import io.daisybend.kernel.encodeCbor
@@ -59,28 +60,8 @@
         socket.send(DatagramPacket(bytes, bytes.size, InetAddress.getLoopbackAddress(), site.peerPort))
     }
 
-    private fun report(vm: String, sequence: Long) = PeerReport(
-        vm = vm,
-        startedAtMs = 1,
-        uptimeMs = 1,
-        sequence = sequence,
-        host = "127.0.0.1",
-        peerPort = socket.localPort,
-        callerPort = 1,
-        failureDomain = "north",
-        ready = true,
-        stopping = false,
-        storeAgeMs = 0,
-        alivePeers = listOf("vm-1"),
-        teams = emptyList(),
-        duty = null,
-        renewal = null,
-        holdsDuty = vm == "vm-2",
-        endpoints = emptyList(),
-        queuedDemand = emptyList(),
-        requests = emptyMap(),
-        holdings = emptyList(),
-    )
+    private fun report(vm: String, sequence: Long) =
+        peerReport(vm, sequence, socket.localPort, alivePeers = listOf("vm-1"), holdsDuty = vm == "vm-2")
 }
 
 class PeerTrafficTest : FunSpec({
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
@@ -55,6 +55,11 @@
         level = (level - amount).coerceIn(-burst - ratePerSecond, burst)
     }
 
+    /** Withdraws what was refilled in the last [elapsedMs] for the [share] of the peers that were out of contact. */
+    public fun withdrawRefill(share: Double, elapsedMs: Long) {
+        deductPeerUse(ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND)
+    }
+
     /** Replaces the level with [peerLevel], the level on a VM that has run for longer. */
     public fun adoptLevel(peerLevel: Double) {
         level = peerLevel.coerceAtMost(burst)
--- a/serving/src/test/kotlin/io/daisybend/serving/rates/TeamRateLimiterTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/rates/TeamRateLimiterTest.kt
@@ -11,12 +11,32 @@
 private const val WINDOW_MS = 8_000L
 private const val SLACK_TOKENS = 110_000.0
 private const val OVERAGE_RATIO = 0.1
-private const val REPORT_INTERVAL_MS = 250L
+
+/** The prompt tokens that the engines of a large site process in a second; a team can't use more. */
+private const val MAX_DEMAND_PER_SECOND = 2_400_000.0
+
+/** Times of the reports in a fleet. */
+private class ReportTimes(val intervalMs: Long, val earlyPauseMs: Long, val mutualTimeoutMs: Long)
+
+private val smallFleetTimes = ReportTimes(intervalMs = 250, earlyPauseMs = 10, mutualTimeoutMs = 800)
+
+/** The times in a fleet of 88 VMs with links of 7 Mbit/s. */
+private val largeFleetTimes = ReportTimes(intervalMs = 880, earlyPauseMs = 230, mutualTimeoutMs = 2_060)
 
 /** Simulates VMs that share the rate of one team by reports, while links between them are cut for a time. */
-private class SimulatedFleet(private val random: Random, private val vmCount: Int, private val isNaive: Boolean) {
-    private val team = team("red", "k", rate = RATE_PER_SECOND, burst = BURST_TOKENS)
+private class SimulatedFleet(
+    private val random: Random,
+    private val vmCount: Int,
+    private val isNaive: Boolean,
+    private val times: ReportTimes = smallFleetTimes,
+    private val lossPercent: Int = 0,
+    private val cutIntervalMs: Int = 800,
+    private val ratePerSecond: Double = RATE_PER_SECOND,
+    burst: Double = BURST_TOKENS,
+) {
+    private val team = team("red", "k", rate = ratePerSecond, burst = burst)
     private val earlyReports = HashSet<Int>()
+    private val lastReportsMs = LongArray(vmCount)
     private val limits =
         List(vmCount) { vm -> TeamRateLimiter { earlyReports.add(vm) }.also { it.configure(listOf(team), 0) } }
     private val reportedAtMs = List(vmCount) { LongArray(vmCount) { 0L } }
@@ -29,13 +49,15 @@
      */
     fun simulate(durationMs: Long, demandFactor: Double): Double {
         var nowMs = 0L
-        if (!isNaive) limits.forEach { it.setFleet(vmCount, 0.0, 0) }
+        if (!isNaive) limits.forEach { it.setContact(FleetContact(vmCount), 0) }
+        (0 until vmCount).forEach { report(it, nowMs) }
         while (nowMs < durationMs) {
             nowMs += 10
-            if (random.nextInt(80) == 0) cutRandomLinks(nowMs)
-            if (!isNaive) earlyReports.forEach { report(it, nowMs) }
-            earlyReports.clear()
-            if (nowMs % REPORT_INTERVAL_MS == 0L) (0 until vmCount).forEach { report(it, nowMs) }
+            if (random.nextInt(cutIntervalMs / 10) == 0) cutRandomLinks(nowMs)
+            val dueEarly = earlyReports.filter { nowMs - lastReportsMs[it] >= times.earlyPauseMs }
+            if (!isNaive) dueEarly.forEach { report(it, nowMs) }
+            earlyReports.removeAll(dueEarly.toSet())
+            (0 until vmCount).filter { nowMs - lastReportsMs[it] >= times.intervalMs }.forEach { report(it, nowMs) }
             if (!isNaive) updateReachability(nowMs)
             sendRequests(nowMs, demandFactor)
         }
@@ -43,7 +65,7 @@
     }
 
     private fun sendRequests(nowMs: Long, demandFactor: Double) {
-        var tokens = RATE_PER_SECOND * demandFactor * 0.01
+        var tokens = ratePerSecond * demandFactor * 0.01
         while (tokens > 0) {
             val cost = random.nextLong(200, 12_000)
             val vm = random.nextInt(vmCount)
@@ -63,9 +85,12 @@
     }
 
     private fun report(from: Int, nowMs: Long) {
-        val report = limits[from].report()
+        lastReportsMs[from] = nowMs
+        val changes = limits[from].reportChanges()
         for (to in 0 until vmCount) {
-            if (from == to || cutUntilMs[from][to] > nowMs) continue
+            if (from == to || cutUntilMs[from][to] > nowMs || random.nextInt(100) < lossPercent) continue
+            val wasReachable = nowMs - reportedAtMs[to][from] <= times.mutualTimeoutMs
+            val report = if (wasReachable || isNaive) changes else limits[from].usage()
             limits[to].onPeerUsage("vm-$from", 1, report, isPeerOlder = false, nowMs)
             reportedAtMs[to][from] = nowMs
         }
@@ -73,8 +98,11 @@
 
     private fun updateReachability(nowMs: Long) {
         for (vm in 0 until vmCount) {
-            val unreachable = (0 until vmCount).count { it != vm && nowMs - reportedAtMs[vm][it] > 800 }
-            limits[vm].setFleet(vmCount, unreachable / vmCount.toDouble(), nowMs)
+            val unreachable = (0 until vmCount).count {
+                it != vm && nowMs - reportedAtMs[vm][it] > times.mutualTimeoutMs
+            }
+            val share = unreachable / vmCount.toDouble()
+            limits[vm].setContact(FleetContact(vmCount, share, lostShare = share, times.mutualTimeoutMs), nowMs)
         }
     }
 
@@ -104,6 +132,49 @@
         countOvershoots(isNaive = false, seeds = 150) shouldBe 0
     }
 
+    test("88 VMs whose reports are slow and sometimes lost stay within the rates of small and of large teams") {
+        (0 until 12).count { seed ->
+            val random = Random(seed)
+            val rate = listOf(40_000.0, 100_000.0, 300_000.0)[seed % 3]
+            val fleet = SimulatedFleet(
+                random,
+                vmCount = 88,
+                isNaive = false,
+                times = largeFleetTimes,
+                lossPercent = 2,
+                cutIntervalMs = 10_000,
+                ratePerSecond = rate,
+                burst = maxOf(rate, BURST_TOKENS),
+            )
+            val allowedTokens =
+                (rate * WINDOW_MS / 1_000 + maxOf(rate, BURST_TOKENS)) * (1 + OVERAGE_RATIO) + SLACK_TOKENS
+            val factor = random.nextDouble(2.0, minOf(9.0, MAX_DEMAND_PER_SECOND / rate))
+            fleet.simulate(15_000, demandFactor = factor) > allowedTokens
+        } shouldBe 0
+    }
+
+    test("a team of which a peer had reported nothing yet is not charged for what the peer admitted before") {
+        val limits = TeamRateLimiter()
+        val red = team("red", "k", rate = 1_000.0, burst = 4_000.0)
+        limits.configure(listOf(red), 0)
+        limits.onPeerUsage("vm-2", 1, mapOf("blue" to TeamUsage(9_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
+        limits.onPeerUsage("vm-2", 1, mapOf("red" to TeamUsage(9_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
+        (limits.admit(red, 10, 0) is RateDecision.Admitted) shouldBe true
+        limits.onPeerUsage("vm-2", 1, mapOf("red" to TeamUsage(12_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
+        (limits.admit(red, 10, 0) is RateDecision.Admitted) shouldBe false
+    }
+
+    test("a change of a team's use is in several reports, and an unchanged use is not") {
+        val limits = TeamRateLimiter()
+        val red = team("red", "k", rate = 1_000.0, burst = 4_000.0)
+        limits.configure(listOf(red), 0)
+        repeat(5) { limits.reportChanges() }
+        limits.reportChanges() shouldBe emptyMap()
+        limits.admit(red, 100, 0)
+        repeat(3) { limits.reportChanges().getValue("red").admitted shouldBe 100.0 }
+        limits.reportChanges() shouldBe emptyMap()
+    }
+
     test("the same check detects a naive limiter that ignores unreachable peers") {
         countOvershoots(isNaive = true, seeds = 40) shouldBeGreaterThan 0
     }
