Cut off engines that send bytes without end

Found by tests of our own: an event without end grew in memory until the deadline, copied whole with each piece, and the caller lost a stream that another engine could have resumed (EntryVmTest, "a stream whose event has no end ..." failed with a broken connection); each of any number of whole responses could take 8 MB; answers to other requests were kept up to 1 MB each although nobody reads them; a report of an engine could take 8 MB.

Now an event ends at 256 kB and a stream at 8 MB, whole responses share a quarter of the heap as bodies of requests do ("a response that exceeds the memory ..." failed with 200 before), unrelated responses are discarded piece by piece, and answers to orders and reports end at 256 kB. All of these count as broken answers of the engine.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -57,6 +57,7 @@
     private val settings: VmSettings,
     private val clocks: ClockPair = SystemClockPair,
     private val bodyMemory: BodyMemory = BodyMemory(),
+    responseMemory: BodyMemory = BodyMemory(),
 ) :
     Readiness {
     private val bounds = settings.bounds
@@ -87,7 +88,8 @@
         load,
         ::steadyMs,
     )
-    private val requestHandler = RequestHandler(connectionPool, endpointPool, teamRateLimiter, log, metrics, ::steadyMs)
+    private val requestHandler =
+        RequestHandler(connectionPool, endpointPool, teamRateLimiter, responseMemory, log, metrics, ::steadyMs)
     private val callers = CallerServer(
         configuration,
         requestHandler,
@@ -280,7 +282,9 @@
             stopping = callers.isStopping,
             storeAgeMs = configuration.confirmationAgeMs(),
             alivePeers = emptyList(),
-            teams = (if (isBroadcast) teamRateLimiter.reportChanges() else teamRateLimiter.usage()).map { (team, use) -> TeamUseReport(team, use.admitted, use.level) },
+            teams = (if (isBroadcast) teamRateLimiter.reportChanges() else teamRateLimiter.usage()).map { (team, use) ->
+                TeamUseReport(team, use.admitted, use.level)
+            },
             duty = leaseManager.newestRecord(),
             renewal = leaseManager.renewalToDelegate(),
             holdsDuty = leaseManager.currentEpoch() != null,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -11,9 +11,9 @@
 import io.daisybend.entry.http.MalformedMessageException
 import io.daisybend.entry.http.RequestHead
 import io.daisybend.entry.http.ResponseHead
+import io.daisybend.entry.http.discardAll
 import io.daisybend.entry.http.encodeHead
 import io.daisybend.entry.http.parseResponseHead
-import io.daisybend.entry.http.readAll
 import io.daisybend.entry.http.readHeadLines
 import io.daisybend.entry.http.writeAll
 import io.daisybend.platform.EndpointResponseHeaders
@@ -137,7 +137,7 @@
         val isOwn = headers.attemptId == request.attemptId || (headers.attemptId == null && headers.didNotRun)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
-        BodyReader(connection.source, head.framing).readAll(MAX_UNRELATED_BODY_BYTES)
+        BodyReader(connection.source, head.framing).discardAll(MAX_UNRELATED_BODY_BYTES)
     }
     return abandon(connection, writeJob, "only answers to other requests")
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EventBuffer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EventBuffer.kt
@@ -4,6 +4,8 @@
  */
 package io.daisybend.entry.exchange
 
+import io.daisybend.entry.http.MalformedMessage
+import io.daisybend.entry.http.MalformedMessageException
 import java.io.ByteArrayOutputStream
 
 /** Buffers the bytes of a stream until an event is complete. */
@@ -14,8 +16,14 @@
     var lastEventId: String? = null
         private set
 
-    /** Appends [bytes] and returns the events that are now complete, or an empty array if there are none. */
+    /**
+     * Appends [bytes] and returns the events that are now complete, or an empty array if there are none. Throws
+     * [MalformedMessageException] if an event exceeds [MAX_EVENT_BYTES].
+     */
     fun completeEvents(bytes: ByteArray): ByteArray {
+        if (partial.size() + bytes.size > MAX_EVENT_BYTES) {
+            throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
+        }
         partial.write(bytes)
         val collected = partial.toByteArray()
         val end = endOfLastEvent(collected)
@@ -49,6 +57,8 @@
         ?.trim()
 
     private companion object {
+        /** Bytes after which an event has no end: many times the tokens that one event holds. */
+        const val MAX_EVENT_BYTES = 262_144
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
@@ -19,13 +19,15 @@
     private val connectionPool: ConnectionPool,
     private val endpointPool: EndpointPool,
     private val teamRateLimiter: TeamRateLimiter,
+    private val responseMemory: BodyMemory,
     private val log: EventLog,
     private val metrics: Metrics,
     private val steadyMs: () -> Long,
 ) {
     /** Serves [admitted] on [connection]; refunds [cost] to the rate of its team if no endpoint can have run it. */
     suspend fun serve(connection: CallerConnection, admitted: AdmittedRequest, cost: Double) {
-        val sender = RequestSender(connection, admitted, connectionPool, endpointPool, log, steadyMs)
+        val sender =
+            RequestSender(connection, admitted, connectionPool, endpointPool, responseMemory, log, steadyMs)
         var outcome = RequestOutcome(0, "caller left", "unknown")
         try {
             outcome = coroutineScope { sender.sendUntilAnswered(this) }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -29,6 +29,7 @@
     private val admitted: AdmittedRequest,
     private val connectionPool: ConnectionPool,
     private val endpointPool: EndpointPool,
+    responseMemory: BodyMemory,
     private val log: EventLog,
     private val steadyMs: () -> Long,
 ) {
@@ -46,7 +47,7 @@
     /** Time from the arrival of the request to the first piece of its response, in milliseconds. */
     val firstPieceMs: Long? get() = relay.firstPieceMs
 
-    private val relay = ResponseRelay(connection, admitted, endpointPool, steadyMs)
+    private val relay = ResponseRelay(connection, admitted, endpointPool, responseMemory, steadyMs)
     private val failedEndpoints = HashSet<String>()
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -5,6 +5,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.http.ConnectionBrokenException
+import io.daisybend.entry.http.MalformedMessage
 import io.daisybend.entry.http.MalformedMessageException
 import io.daisybend.entry.http.readAll
 import io.daisybend.platform.headersForCaller
@@ -18,6 +19,7 @@
     private val connection: CallerConnection,
     private val admitted: AdmittedRequest,
     private val endpointPool: EndpointPool,
+    private val responseMemory: BodyMemory,
     private val steadyMs: () -> Long,
 ) {
     /** Time from the arrival of the request to the first piece of its response, in milliseconds. */
@@ -32,9 +34,22 @@
 
     /** Forwards [response] after its body was read completely; reports a failure if the body is incomplete. */
     suspend fun relayWhole(endpoint: Endpoint, response: SendStart.HeadReceived): SendResult {
+        val allocation = responseMemory.newAllocation()
+        try {
+            return relayWhole(endpoint, response, allocation)
+        } finally {
+            allocation.release()
+        }
+    }
+
+    private suspend fun relayWhole(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        allocation: BodyMemory.Allocation,
+    ): SendResult {
         val body = try {
             withTimeoutOrNull(remainingMs.coerceAtLeast(1)) {
-                response.exchange.body.readAll(MAX_BUFFERED_RESPONSE_BYTES)
+                response.exchange.body.readAll(MAX_BUFFERED_RESPONSE_BYTES, allocation::tryReserve)
             }
         } catch (expectedBreak: IOException) {
             null
@@ -90,8 +105,11 @@
 
     /** Forwards the body as it arrives; returns an empty string at the end of the stream. */
     private suspend fun forwardEvents(response: SendStart.HeadReceived, tracked: TrackedExchange): String {
+        var receivedBytes = 0
         while (true) {
             val bytes = readNextPiece(response) ?: break
+            receivedBytes += bytes.size
+            if (receivedBytes > MAX_STREAM_BYTES) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
             if (firstPieceMs == null) firstPieceMs = steadyMs() - admitted.arrivedAtMs
             endpointPool.exchanges.onFirstEvent(tracked)
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
@@ -118,6 +136,9 @@
 
     private companion object {
         const val MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
+
+        /** Bytes after which a stream has no end: many times the longest output of a model. */
+        const val MAX_STREAM_BYTES = 8_388_608
         val SUCCESS = 200..299
 
         /** Silence after which a resumable stream goes to another engine, in milliseconds: many times a usual pause. */
--- a/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
@@ -110,3 +110,12 @@
     }
     return body
 }
+
+/** Reads the rest of the body without keeping it; throws [MalformedMessageException] if it exceeds [maxBytes]. */
+internal suspend fun BodyReader.discardAll(maxBytes: Int) {
+    var size = 0
+    while (true) {
+        size += readPiece()?.size ?: return
+        if (size > maxBytes) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
+    }
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -23,6 +23,7 @@
         headers: List<Header>,
         body: ByteArray,
         timeoutMs: Long,
+        maxResponseBytes: Int,
     ): Result<HttpResponse, HttpCallFailed> {
         var usedConnection: Connection? = null
         val response = try {
@@ -32,7 +33,7 @@
                         ?: connectionPool.connect(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
                         ?: return@withTimeoutOrNull Err(HttpCallFailed(target, "no connection to $address"))
                 usedConnection = connection
-                exchange(connection, address, method, target, headers, body)
+                exchange(connection, address, method, target, headers, body, maxResponseBytes)
             }
         } catch (cancelled: CancellationException) {
             usedConnection?.close()
@@ -51,13 +52,14 @@
         target: String,
         headers: List<Header>,
         body: ByteArray,
+        maxResponseBytes: Int,
     ): Result<HttpResponse, HttpCallFailed> {
         val framing = listOf(Header("Host", address.toString()), Header("Content-Length", body.size.toString()))
         connection.sink.writeAll(encodeHead("$method $target HTTP/1.1", framing + headers), body)
         val headLines = connection.source.readHeadLines(MAX_HEAD_BYTES) ?: throw ConnectionBrokenException(null)
         val head = parseResponseHead(headLines, method)
         val reader = BodyReader(connection.source, head.framing)
-        val responseBody = reader.readAll(MAX_RESPONSE_BYTES)
+        val responseBody = reader.readAll(maxResponseBytes)
         if (head.keepAlive) connectionPool.release(connection, head.keepAliveMs) else connection.close()
         return Ok(HttpResponse(head.status, head.headers, responseBody))
     }
@@ -66,6 +68,5 @@
         /** Timeout for opening a connection, in milliseconds. A lost SYN is retransmitted only after one second. */
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_HEAD_BYTES = 16_384
-        const val MAX_RESPONSE_BYTES = 8_388_608
     }
 }
--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -125,6 +125,41 @@
         }
     }
 
+    test("an endpoint that sends a head or a body without end is cut off, and the call runs at another endpoint") {
+        withSite {
+            configure()
+            listOf(Behaviour.ENDLESS_HEAD, Behaviour.ENDLESS_BODY).forEach { behaviour ->
+                endpoints[0].behaviours.add(behaviour)
+                while (endpoints[0].behaviours.isNotEmpty()) connect().call("GET", "/safe/x").status shouldBe 200
+                // The endpoint is ejected for a while.
+                delay(1_200)
+            }
+        }
+    }
+
+    test("a stream whose event has no end is cut off and resumed at another endpoint") {
+        withSite {
+            configure()
+            repeat(2) {
+                endpoints[0].behaviours.add(Behaviour.ENDLESS_EVENT)
+                val response = connect().call("POST", "/stream/x", "prompt")
+                response.body shouldBe (1..FakeEndpoint.EVENTS).joinToString("") { "id: $it\ndata: $it\n\n" }
+                endpoints[0].behaviours.clear()
+                delay(1_200)
+            }
+        }
+    }
+
+    test("a response that exceeds the memory for responses is not kept, and later ones are served") {
+        withSite {
+            configure()
+            queueForAll(Behaviour.LARGE_RESPONSE)
+            connect().call("POST", "/once/x", "1").status shouldBe 502
+            endpoints.forEach { it.behaviours.clear() }
+            repeat(3) { connect().call("POST", "/once/x", "b".repeat(9_000)).status shouldBe 200 }
+        }
+    }
+
     test("a caller that disconnects cancels its work at the endpoint") {
         withSite {
             configure()
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -14,7 +14,20 @@
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** How the endpoint handles one request. */
-internal enum class Behaviour { SERVE, LOSE_RESPONSE, REJECT, FAIL, EXTRA_RESPONSE, BREAK_MID_EVENT, HANG, UNSEALED }
+internal enum class Behaviour {
+    SERVE,
+    LOSE_RESPONSE,
+    REJECT,
+    FAIL,
+    EXTRA_RESPONSE,
+    BREAK_MID_EVENT,
+    HANG,
+    UNSEALED,
+    ENDLESS_HEAD,
+    ENDLESS_BODY,
+    ENDLESS_EVENT,
+    LARGE_RESPONSE,
+}
 
 internal class FakeEndpoint(val id: String) {
     /** Behaviours for the next requests. */
@@ -38,6 +51,14 @@
             Behaviour.FAIL -> call.respond(500, "failed".encodeToByteArray(), ownHeaders(call))
             Behaviour.HANG -> if (!call.source.fill()) abandoned.add(call.header("X-Daisybend-Attempt-Id")!!)
             Behaviour.UNSEALED -> call.respond(200, "x".encodeToByteArray(), listOf(ownHeaders(call).first()))
+            Behaviour.LARGE_RESPONSE -> call.respond(200, ByteArray(LARGE_RESPONSE_BYTES), ownHeaders(call))
+            Behaviour.ENDLESS_HEAD -> sendWithoutEnd(call, "HTTP/1.1 200 OK\r\nX-Filler: ".encodeToByteArray(), filler)
+            Behaviour.ENDLESS_BODY -> sendWithoutEnd(call, encodeHead("HTTP/1.1 200 OK", ownHeaders(call)), filler)
+            Behaviour.ENDLESS_EVENT -> sendWithoutEnd(
+                call,
+                encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + Header("Transfer-Encoding", "chunked")),
+                encodeChunk(filler),
+            )
             else -> serve(call, behaviour)
         }
     }
@@ -63,6 +84,12 @@
         call.sink.writeLastChunk()
     }
 
+    /** Writes until the connection closes. */
+    private suspend fun sendWithoutEnd(call: FakeServerCall, start: ByteArray, piece: ByteArray) {
+        call.sink.writeAll(start)
+        while (true) call.sink.writeAll(piece)
+    }
+
     private fun ownHeaders(call: FakeServerCall) = listOf(
         Header("X-Daisybend-Attempt-Id", call.header("X-Daisybend-Attempt-Id")!!),
         Header("X-Daisybend-Response-Seal", "seal"),
@@ -72,5 +99,7 @@
         const val EVENTS = 6
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
+        private const val LARGE_RESPONSE_BYTES = 200_000
+        private val filler = ByteArray(4_096) { 'x'.code.toByte() }
     }
 }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -121,6 +121,7 @@
         vm = EntryVm(
             readVmSettings((settings.lines() + moreSettings).joinToString("\n")).getOrElse { error(it.message) },
             bodyMemory = BodyMemory(limitBytes = 10_000),
+            responseMemory = BodyMemory(limitBytes = 100_000),
         )
         vm.start(scope)
         return this
