--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -96,7 +96,7 @@
             withTimeoutOrNull(dueMs - steadyMs()) { broadcastRequested.receive() }
             sentAtMs = steadyMs()
             val sentBytes = load.measure(Activity.SEND_REPORTS) { broadcast(socket) }
-            delay(schedule.pauseMs(sentBytes, steadyMs() - sentAtMs))
+            delay(schedule.pauseMs(peers.vmCount, sentBytes, steadyMs() - sentAtMs))
         }
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/ReportSchedule.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/ReportSchedule.kt
@@ -22,11 +22,15 @@
      */
     fun mutualTimeoutMs(vmCount: Int): Long = MUTUAL_INTERVALS * intervalMs(vmCount) + MUTUAL_MARGIN_MS
 
-    /** Returns the pause after a round of reports that took [tookMs] and sent [sentBytes], in milliseconds. */
-    fun pauseMs(sentBytes: Long, tookMs: Long): Long {
+    /**
+     * Returns the pause after a round of reports to a fleet of [vmCount] that took [tookMs] and sent [sentBytes], in
+     * milliseconds.
+     */
+    fun pauseMs(vmCount: Int, sentBytes: Long, tookMs: Long): Long {
         val linkMs = sentBytes * BITS_PER_BYTE / (linkMbps * BITS_PER_MEGABIT_MS)
         val pausesPerRound = 1 / MAX_EARLY_SHARE - 1
-        return maxOf(linkMs / MAX_EARLY_SHARE, tookMs * pausesPerRound).toLong().coerceIn(MIN_PAUSE_MS, MAX_PAUSE_MS)
+        val ownPauseMs = maxOf(linkMs / MAX_EARLY_SHARE, tookMs * pausesPerRound).toLong()
+        return maxOf(ownPauseMs, vmCount * PAUSE_PER_VM_MS).coerceIn(MIN_PAUSE_MS, MAX_PAUSE_MS)
     }
 
     /**
@@ -44,6 +48,9 @@
         /** A VM receives one regular report in this time: a percent of a small core and a tenth of a 7 Mbit/s link. */
         private const val INTERVAL_PER_VM_MS = 10L
         private const val DEMAND_PAUSE_PER_VM_MS = 4L
+
+        /** Pause between early reports for each VM: all of them are woken by each round. */
+        private const val PAUSE_PER_VM_MS = 1L
         private const val ALIVE_INTERVALS = 4L
         private const val DELAY_MARGIN_MS = 200L
         private const val MUTUAL_INTERVALS = 2L
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
@@ -67,6 +67,13 @@
         schedule.intervalMs(vmCount = 9) shouldBe 250
     }
 
+    test("early reports wait for the link, for the processor and for the fleet") {
+        ReportSchedule(linkMbps = 7.0).pauseMs(vmCount = 65, sentBytes = 70_000, tookMs = 10) shouldBe 200
+        schedule.pauseMs(vmCount = 65, sentBytes = 70_000, tookMs = 100) shouldBe 150
+        schedule.pauseMs(vmCount = 65, sentBytes = 70_000, tookMs = 10) shouldBe 65
+        schedule.pauseMs(vmCount = 2, sentBytes = 1_000, tookMs = 0) shouldBe 8
+    }
+
     test("a forecast load is known until its end is announced or long overdue") {
         val forecast = LoadForecast()
         fun holdings(loading: String?) = HoldingsReport("engine-1", 1, 1, emptyMap(), loading, loadedInMs = 2_000)
