Log the prompt parts and the events of a send that failed

The line send-failed told neither which parts the prompt had nor how far the answer came, so a crash that a request causes looked like any cut stream. Now it names the shared parts and the number of complete events received. EventProgress follows the events without keeping bytes.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ExchangeTracker.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ExchangeTracker.kt
@@ -20,6 +20,9 @@
     val demand: ModelDemand?,
     val startedAtMs: Long,
 ) {
+    /** The events received. */
+    val progress = EventProgress()
+
     /** Arrival time of the first event, or null before it. */
     @Volatile
     var firstEventAtMs: Long? = null
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -49,6 +49,7 @@
 
     private val relay = ResponseRelay(connection, admitted, endpointPool, responseMemory, steadyMs)
     private val failedEndpoints = HashSet<String>()
+    private var lastExchange: TrackedExchange? = null
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
     /** Sends the request until the caller has a response; unfinished writes of a send continue in [scope]. */
@@ -86,6 +87,8 @@
             "endpoint" to endpoint.incarnation.id,
             "outcome" to result.outcome.toString(),
             "reason" to result.reason,
+            "events" to lastExchange?.progress?.eventCount,
+            "parts" to admitted.caller.demand?.sharedParts?.map { it.id },
             "next" to step.toString(),
         )
         return step
@@ -116,6 +119,7 @@
     private suspend fun sendOnce(scope: CoroutineScope, endpoint: Endpoint): SendResult {
         endpointsUsed.add(endpoint.incarnation.id)
         val tracked = endpointPool.exchanges.begin(endpoint, admitted.caller.demand)
+        lastExchange = tracked
         var exchange: EndpointExchange? = null
         try {
             val startResult = withTimeoutOrNull(responseTimeoutMs()) {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -111,6 +111,7 @@
             receivedBytes += bytes.size
             if (receivedBytes > MAX_STREAM_BYTES) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
             if (firstPieceMs == null) firstPieceMs = steadyMs() - admitted.arrivedAtMs
+            tracked.progress.onBytes(bytes)
             endpointPool.exchanges.onFirstEvent(tracked)
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
         }
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
@@ -20,6 +20,9 @@
     val maxOutputTokens: Int,
     val parts: List<PromptPart>,
 ) {
+    /** The parts that other requests may share: all but the last one. */
+    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+
     /** The part that identifies the session: the one before the last, or the only one. */
     val session: PromptPart? get() = parts.getOrNull(parts.size - 2) ?: parts.firstOrNull()
 }
