--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -6,6 +6,7 @@
 import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.EndpointPool
+import io.daisybend.entry.exchange.EngineEndDetector
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.http.PooledHttpClient
@@ -20,9 +21,12 @@
 import io.daisybend.entry.peers.ReportPurpose
 import io.daisybend.entry.peers.ReportSchedule
 import io.daisybend.entry.peers.TeamUseReport
+import io.daisybend.entry.peers.toEvidence
 import io.daisybend.entry.peers.toHoldings
+import io.daisybend.entry.peers.toReport
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
+import io.daisybend.entry.store.QuarantineKeeper
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.platform.EngineClient
@@ -35,6 +39,9 @@
 import io.daisybend.serving.endpoint.EndpointChooser
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.quarantine.PromptEvidence
+import io.daisybend.serving.quarantine.PromptQuarantine
+import io.daisybend.serving.quarantine.Quarantine
 import io.daisybend.serving.rates.TeamRateLimiter
 import io.daisybend.serving.rates.TeamUsage
 import io.daisybend.serving.site.ClockPair
@@ -78,6 +85,14 @@
     private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
         VmComponents(endpointPool, leaseManager, orderController, peerLink)
     }
+    private val quarantine = PromptQuarantine(
+        rankOf = ::rankAmongVms,
+        requestEarlyReport = ::reportSoon,
+        onChange = ::onQuarantinesChanged,
+    )
+    private val quarantineLog = QuarantineLog(log, metrics, ::steadyMs)
+    private val quarantineKeeper =
+        QuarantineKeeper(store, quarantine, clocks, log) { peers.contact(steadyMs()).unreachableShare > 0.0 }
     private val configuration = ConfigurationWatcher(store, clocks, log, ::onConfigurationChanged)
     private val endpointWatcher = EndpointWatcher(store, clocks, table, log, load, ::onEndpointsChanged)
     private val endpointPool: EndpointPool = EndpointPool(
@@ -86,10 +101,19 @@
         fleet,
         RetryBudgetSettings(bounds.budgetWindowMs, bounds.budgetRatio, bounds.budgetExtra),
         load,
+        quarantine,
+        ::steadyMs,
+    )
+    private val requestHandler = RequestHandler(
+        connectionPool,
+        endpointPool,
+        EngineEndDetector(connectionPool, quarantine, log, ::steadyMs),
+        teamRateLimiter,
+        responseMemory,
+        log,
+        metrics,
         ::steadyMs,
     )
-    private val requestHandler =
-        RequestHandler(connectionPool, endpointPool, teamRateLimiter, responseMemory, log, metrics, ::steadyMs)
     private val callers = CallerServer(
         configuration,
         requestHandler,
@@ -163,7 +187,12 @@
             scope.launch { controlServer.accept(server, scope) }
         }
         peerLink.start(scope, settings.ip, settings.peerPort)
-        scope.launch { configuration.run() }
+        scope.launch {
+            // Requests are admitted once a configuration is known, and by then the quarantines should be.
+            quarantineKeeper.load()
+            configuration.run()
+        }
+        scope.launch { quarantineKeeper.run() }
         scope.launch { endpointWatcher.run() }
         scope.launch { registry.run() }
         scope.launch { leaseManager.run() }
@@ -233,6 +262,7 @@
             peers.removeExpired(now)
             loadForecast.removeOverdue(now)
             teamRateLimiter.setContact(peers.contact(now), now)
+            quarantine.removeExpired(now)
         }
     }
 
@@ -241,6 +271,12 @@
         endpointPool.onEndpointsChanged()
     }
 
+    private fun onQuarantinesChanged(quarantines: List<Quarantine>) {
+        quarantineLog.onChange(quarantines)
+        quarantineKeeper.keepSoon()
+        endpointPool.onEndpointsChanged()
+    }
+
     private fun onEndpointsChanged() {
         endpointPool.onEndpointsChanged()
         orderController.reconcileSoon()
@@ -267,6 +303,9 @@
         return rankByRendezvous("order-duty", others + settings.vm).indexOf(settings.vm)
     }
 
+    private fun rankAmongVms(key: String): Int =
+        rankByRendezvous(key, peers.aliveReports(steadyMs()).map { it.vm } + settings.vm).indexOf(settings.vm)
+
     private fun buildReport(purpose: ReportPurpose): PeerReport {
         val now = clocks.read()
         val isBroadcast = purpose == ReportPurpose.BROADCAST
@@ -295,6 +334,11 @@
             requests = endpointPool.requestCounts(peers.repeatWindowMs),
             holdings =
             if (leaseManager.currentEpoch() != null) orderController.announcements(changedSinceMs) else emptyList(),
+            prompts = when (purpose) {
+                ReportPurpose.BROADCAST -> quarantine.reportChanges(now.steadyMs)
+                ReportPurpose.COMPLETE -> quarantine.evidence(now.steadyMs)
+                ReportPurpose.DEMAND -> PromptEvidence()
+            }.toReport(),
         )
     }
 
@@ -329,6 +373,7 @@
             isPeerOlder,
             now,
         )
+        quarantine.onEvidence(report.prompts.toEvidence(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
         if (report.holdings.isNotEmpty()) {
--- a/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
@@ -55,6 +55,13 @@
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
     }
 
+    /** Registers gauges that call [values] on each scrape, which returns the value for each value of [label]. */
+    fun addGauges(name: String, help: String, label: String, values: () -> Map<String, Double>) {
+        GaugeWithCallback.builder().name(name).help(help).labelNames(label)
+            .callback { callback -> values().forEach { (labelValue, value) -> callback.call(value, labelValue) } }
+            .register(registry)
+    }
+
     /** Registers counters that call [values] on each scrape, which returns the value for each value of [label]. */
     fun addCounters(name: String, help: String, label: String, values: () -> Map<String, Double>) {
         CounterWithCallback.builder().name(name).help(help).labelNames(label)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/AdmittedRequest.kt
@@ -28,10 +28,17 @@
             arrivedAtMs + maxOf(MIN_FIRST_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetLatencyMs),
         )
 
+    /** Ids of the prompt parts that other requests may share. */
+    val sharedPartIds: List<String> =
+        caller.demand?.sharedParts?.map { it.id }?.filter { it.length <= MAX_PART_ID_CHARS }.orEmpty()
+
     /** Priority of the request: the team's if it has one, otherwise the route's. */
     val priority: Int get() = team?.priority ?: route.priority
 }
 
+/** Longer ids of parts are not compared: several times the length of a hash. */
+private const val MAX_PART_ID_CHARS = 128
+
 /** Minimum wait of callers for a first event, in milliseconds and in target latencies; set by the platform. */
 private const val MIN_FIRST_EVENT_TIMEOUT_MS = 2_000L
 private const val FIRST_EVENT_TIMEOUT_FACTOR = 4L
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -17,6 +17,8 @@
 import io.daisybend.serving.endpoint.EndpointLoad
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.ModelDemand
+import io.daisybend.serving.quarantine.PromptQuarantine
+import io.daisybend.serving.quarantine.QuarantineVerdict
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
@@ -59,13 +61,14 @@
     fun onDemandChanged()
 }
 
-/** Selects endpoints and counts their use by this VM. */
+/** Selects endpoints and counts their use by this VM; refuses requests with quarantined prompt parts. */
 internal class EndpointPool(
     private val table: EndpointTable,
     private val chooser: EndpointChooser,
     private val fleet: FleetView,
     private val budgetSettings: RetryBudgetSettings,
     private val load: LoadMonitor,
+    private val quarantine: PromptQuarantine,
     private val steadyMs: () -> Long,
 ) {
     private val changes = MutableStateFlow(0L)
@@ -106,6 +109,7 @@
      * in time.
      */
     suspend fun select(admitted: AdmittedRequest, exclude: Set<String>): EndpointSelection {
+        refusalByQuarantine(admitted)?.let { return it }
         when (val choice = choose(admitted, exclude)) {
             is EndpointChoice.Send -> return EndpointSelection.Selected(choice.endpoint)
             EndpointChoice.NoEndpoint -> return noEndpoint(admitted)
@@ -129,6 +133,7 @@
     ): EndpointSelection {
         while (true) {
             val seen = changes.value
+            refusalByQuarantine(admitted)?.let { return it }
             when (val choice = choose(admitted, exclude)) {
                 is EndpointChoice.Send -> return EndpointSelection.Selected(choice.endpoint)
                 EndpointChoice.NoEndpoint -> return noEndpoint(admitted)
@@ -140,6 +145,27 @@
         }
     }
 
+    private fun refusalByQuarantine(admitted: AdmittedRequest): EndpointSelection.Unavailable? {
+        val now = steadyMs()
+        return when (val verdict = quarantine.check(admitted.sharedPartIds, now)) {
+            QuarantineVerdict.Allowed -> null
+            is QuarantineVerdict.Refused -> {
+                val agesMs = verdict.quarantine.endedAtMs.map { (engine, atMs) -> "${engine.id} ${now - atMs} ms ago" }
+                val reason = "prompt parts ${verdict.quarantine.key} are quarantined, engines ended: $agesMs"
+                EndpointSelection.Unavailable(reason, verdict.retryAfterMs)
+            }
+        }
+    }
+
+    /** Suspends until the prompt of [admitted] contains quarantined parts. */
+    suspend fun awaitQuarantine(admitted: AdmittedRequest) {
+        while (true) {
+            val seen = changes.value
+            if (quarantine.isQuarantined(admitted.sharedPartIds)) return
+            changes.first { it != seen }
+        }
+    }
+
     private fun noEndpoint(admitted: AdmittedRequest) =
         EndpointSelection.Unavailable("no endpoint of ${admitted.service.name} may be used", NO_ENDPOINT_RETRY_AFTER_MS)
 
@@ -218,6 +244,15 @@
         return if (fleet.isDutyHeld()) remainingMs else minOf(remainingMs, waitStartedAtMs + NO_HOLDER_WAIT_MS - now)
     }
 
+    /** Records that the answer to [admitted] went on past its beginning. */
+    fun recordProvenAnswer(admitted: AdmittedRequest) = quarantine.onAnswerProven(admitted.sharedPartIds, steadyMs())
+
+    /** Records that the endpoint of [exchange] completed the answer. */
+    fun recordCompleteAnswer(admitted: AdmittedRequest, exchange: TrackedExchange) {
+        recordProvenAnswer(admitted)
+        quarantine.onAnswerCompleted(exchange.endpoint.incarnation, exchange.startedAtMs, steadyMs())
+    }
+
     /** Records a successful response of [endpoint]. */
     fun recordSuccess(endpoint: Endpoint) = table.onSuccess(endpoint)
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -38,7 +38,13 @@
     data class NotSent(val reason: String) : SendStart
 
     /** The request was written, but no valid response was received. */
-    data class NoResponse(val reason: String) : SendStart
+    data class NoResponse(
+        val reason: String,
+        /** Whether the endpoint ended the connection. */
+        val connectionEnded: Boolean = false,
+        /** Whether this VM took the request back. */
+        val withdrawn: Boolean = false,
+    ) : SendStart
 
     /** The response head was received; the body follows. */
     class HeadReceived(
@@ -94,16 +100,21 @@
         connection.close()
         throw cancelled
     } catch (broken: IOException) {
-        abandon(connection, writeJob, broken.message.orEmpty())
+        abandon(connection, writeJob, broken.message.orEmpty(), connectionEnded = true)
     } catch (malformed: MalformedMessageException) {
         abandon(connection, writeJob, "an answer that is not in the protocol: ${malformed.problem.reason}")
     }
 }
 
-private fun abandon(connection: Connection, writeJob: Job, reason: String): SendStart {
+private fun abandon(
+    connection: Connection,
+    writeJob: Job,
+    reason: String,
+    connectionEnded: Boolean = false,
+): SendStart {
     writeJob.cancel()
     connection.close()
-    return SendStart.NoResponse(reason)
+    return SendStart.NoResponse(reason, connectionEnded)
 }
 
 private suspend fun writeRequest(connection: Connection, request: BufferedRequest, send: SendHeaders) {
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineEndDetector.kt
@@ -0,0 +1,69 @@
+/*
+ * Finds out whether an engine has ended after it broke off an answer: an engine that still accepts connections has not.
+ */
+package io.daisybend.entry.exchange
+
+import io.daisybend.entry.EventLog
+import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.platform.SocketAddress
+import io.daisybend.serving.endpoint.Endpoint
+import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.quarantine.PromptQuarantine
+import io.daisybend.serving.quarantine.SuspectRequest
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+
+/** Reports engines that ended under requests to [quarantine]. */
+internal class EngineEndDetector(
+    private val connectionPool: ConnectionPool,
+    private val quarantine: PromptQuarantine,
+    private val log: EventLog,
+    private val steadyMs: () -> Long,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val checks = ConcurrentHashMap<Incarnation, Deferred<Boolean>>()
+
+    /** Checks [endpoint] after it broke off the answer to [request]; the returned job ends with the check. */
+    fun onBroken(endpoint: Endpoint, request: SuspectRequest): Job {
+        val brokenAtMs = steadyMs()
+        return scope.launch {
+            if (!hasEnded(endpoint)) return@launch
+            log.write(
+                "engine-ended",
+                "endpoint" to endpoint.incarnation.id,
+                "bornMs" to endpoint.incarnation.bornMs,
+                "parts" to request.parts,
+                "answerBegun" to request.hasStarted,
+            )
+            quarantine.onEngineEnded(endpoint.incarnation, listOf(request), brokenAtMs, steadyMs())
+        }
+    }
+
+    /** The requests that one end of an engine breaks off share one check. */
+    private suspend fun hasEnded(endpoint: Endpoint): Boolean {
+        val check = checks.computeIfAbsent(endpoint.incarnation) { scope.async { !acceptsConnection(endpoint) } }
+        return try {
+            check.await()
+        } finally {
+            checks.remove(endpoint.incarnation, check)
+        }
+    }
+
+    private suspend fun acceptsConnection(endpoint: Endpoint): Boolean {
+        val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
+        val connection = connectionPool.connect(address, CONNECT_TIMEOUT_MS) ?: return false
+        connectionPool.release(connection, peerKeepAliveMs = null)
+        return true
+    }
+
+    private companion object {
+        /** Timeout for opening a connection, in milliseconds: a few round trips. */
+        const val CONNECT_TIMEOUT_MS = 250L
+    }
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
@@ -18,6 +18,7 @@
 internal class RequestHandler(
     private val connectionPool: ConnectionPool,
     private val endpointPool: EndpointPool,
+    private val endDetector: EngineEndDetector,
     private val teamRateLimiter: TeamRateLimiter,
     private val responseMemory: BodyMemory,
     private val log: EventLog,
@@ -27,7 +28,16 @@
     /** Serves [admitted] on [connection]; refunds [cost] to the rate of its team if no endpoint can have run it. */
     suspend fun serve(connection: CallerConnection, admitted: AdmittedRequest, cost: Double) {
         val sender =
-            RequestSender(connection, admitted, connectionPool, endpointPool, responseMemory, log, steadyMs)
+            RequestSender(
+                connection,
+                admitted,
+                connectionPool,
+                endpointPool,
+                endDetector,
+                responseMemory,
+                log,
+                steadyMs,
+            )
         var outcome = RequestOutcome(0, "caller left", "unknown")
         try {
             outcome = coroutineScope { sender.sendUntilAnswered(this) }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -16,12 +16,27 @@
 import io.daisybend.serving.attempt.SendOutcome
 import io.daisybend.serving.attempt.nextStep
 import io.daisybend.serving.endpoint.Endpoint
+import io.daisybend.serving.quarantine.SuspectRequest
 import io.daisybend.serving.site.RouteKind
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Result of one send; [requestOutcome] is set if the caller has received its response. */
-internal data class SendResult(val outcome: SendOutcome, val reason: String, val requestOutcome: RequestOutcome? = null)
+internal data class SendResult(
+    val outcome: SendOutcome,
+    val reason: String,
+    val requestOutcome: RequestOutcome? = null,
+    /** Whether the endpoint ended the connection before the end of its response. */
+    val connectionEnded: Boolean = false,
+    /** Whether the head of a response was received. */
+    val headReceived: Boolean = true,
+)
 
 /** Sends [admitted], which arrived on [connection]. */
 internal class RequestSender(
@@ -29,6 +44,7 @@
     private val admitted: AdmittedRequest,
     private val connectionPool: ConnectionPool,
     private val endpointPool: EndpointPool,
+    private val endDetector: EngineEndDetector,
     responseMemory: BodyMemory,
     private val log: EventLog,
     private val steadyMs: () -> Long,
@@ -64,14 +80,24 @@
             }
             val result = sendOnce(scope, endpoint)
             result.requestOutcome?.let { return it }
+            val endCheck = if (isSuspect(result)) endDetector.onBroken(endpoint, suspectRequest(result)) else null
             when (val step = decideNextStep(result, endpoint)) {
-                NextStep.SendElsewhere -> Unit
+                NextStep.SendElsewhere -> endCheck?.join()
                 is NextStep.RefuseUnrun -> return refuse(step.retryAfterMs, "endpoints refused: ${result.reason}")
                 NextStep.FailUnknown, NextStep.PassOn -> return fail(result.reason)
             }
         }
     }
 
+    /** Whether the endpoint may have ended because it began to answer the prompt of the request. */
+    private fun isSuspect(result: SendResult): Boolean {
+        val events = lastExchange?.progress?.eventCount ?: 0
+        return result.connectionEnded && events < ResponseRelay.PROVEN_EVENTS && admitted.sharedPartIds.isNotEmpty()
+    }
+
+    private fun suspectRequest(result: SendResult) =
+        SuspectRequest(admitted.sharedPartIds, hasStarted = result.headReceived)
+
     private fun decideNextStep(result: SendResult, endpoint: Endpoint): NextStep {
         // An engine that refused the request may hold the model soon, so it is not excluded here; the endpoint table
         // remembers the refusal for a short time.
@@ -88,7 +114,7 @@
             "outcome" to result.outcome.toString(),
             "reason" to result.reason,
             "events" to lastExchange?.progress?.eventCount,
-            "parts" to admitted.caller.demand?.sharedParts?.map { it.id },
+            "parts" to admitted.sharedPartIds.ifEmpty { null },
             "next" to step.toString(),
         )
         return step
@@ -123,7 +149,16 @@
         var exchange: EndpointExchange? = null
         try {
             val startResult = withTimeoutOrNull(responseTimeoutMs()) {
-                startSend(connectionPool, scope, admitted.request, endpoint, sendHeaders(endpoint), connectTimeoutMs())
+                unlessQuarantined {
+                    startSend(
+                        connectionPool,
+                        scope,
+                        admitted.request,
+                        endpoint,
+                        sendHeaders(endpoint),
+                        connectTimeoutMs(),
+                    )
+                }
             } ?: SendStart.NoResponse("no answer in time")
             if (startResult is SendStart.HeadReceived) exchange = startResult.exchange
             return when (startResult) {
@@ -133,8 +168,13 @@
                 }
                 is SendStart.NoResponse -> {
                     mayHaveRun = true
-                    if (remainingMs > 0) endpointPool.recordFailure(endpoint)
-                    SendResult(SendOutcome.Unknown, startResult.reason)
+                    if (remainingMs > 0 && !startResult.withdrawn) endpointPool.recordFailure(endpoint)
+                    SendResult(
+                        SendOutcome.Unknown,
+                        startResult.reason,
+                        connectionEnded = startResult.connectionEnded,
+                        headReceived = false,
+                    )
                 }
                 is SendStart.HeadReceived -> onResponse(endpoint, startResult, tracked)
             }
@@ -144,6 +184,29 @@
         }
     }
 
+    /** Runs [send], or cancels it once the prompt is quarantined: an engine that has not begun the answer drops it. */
+    private suspend fun unlessQuarantined(send: suspend () -> SendStart): SendStart {
+        if (admitted.sharedPartIds.isEmpty()) return send()
+        return coroutineScope {
+            val sending = async { send() }
+            val quarantined = launch { endpointPool.awaitQuarantine(admitted) }
+            select {
+                sending.onAwait { it }
+                quarantined.onJoin { takeBack(sending) }
+            }.also { quarantined.cancel() }
+        }
+    }
+
+    /** Cancels [sending], unless the endpoint has already responded. */
+    private suspend fun takeBack(sending: Deferred<SendStart>): SendStart {
+        sending.cancel()
+        return try {
+            sending.await()
+        } catch (expectedCancellation: CancellationException) {
+            SendStart.NoResponse("its prompt parts were quarantined", withdrawn = true)
+        }
+    }
+
     /**
      * Returns the timeout for the response head. An engine that does not respond is given up before the deadline only
      * if the request may be sent to another one.
@@ -171,7 +234,7 @@
         val status = response.head.status
         if (response.headers.didNotRun) return onRejection(endpoint, response)
         mayHaveRun = true
-        if (status !in SUCCESS) return onEndpointFailure(endpoint, response)
+        if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
         if (!response.headers.sealed) {
             response.exchange.abort()
             endpointPool.recordFailure(endpoint)
@@ -181,7 +244,7 @@
         return if (admitted.route.kind == RouteKind.STREAM) {
             relay.relayStream(endpoint, response, tracked)
         } else {
-            relay.relayWhole(endpoint, response)
+            relay.relayWhole(endpoint, response, tracked)
         }
     }
 
@@ -197,7 +260,11 @@
         return SendResult(outcome, "status $status, not run")
     }
 
-    private suspend fun onEndpointFailure(endpoint: Endpoint, response: SendStart.HeadReceived): SendResult {
+    private suspend fun onEndpointFailure(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        tracked: TrackedExchange,
+    ): SendResult {
         val status = response.head.status
         if (status >= FIRST_SERVER_ERROR) endpointPool.recordFailure(endpoint)
         if (connection.headWritten) return SendResult(SendOutcome.Unknown, "status $status for the rest of a stream")
@@ -208,7 +275,7 @@
             remainingMs > MIN_RETRY_TIME_MS &&
             endpointPool.hasAlternative(admitted, failedEndpoints + endpoint.incarnation.id)
         if (shouldRetry) return SendResult(outcome, "status $status")
-        return relay.relayWhole(endpoint, response).copy(outcome = outcome)
+        return relay.relayWhole(endpoint, response, tracked).copy(outcome = outcome)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -4,7 +4,6 @@
  */
 package io.daisybend.entry.exchange
 
-import io.daisybend.entry.http.ConnectionBrokenException
 import io.daisybend.entry.http.MalformedMessage
 import io.daisybend.entry.http.MalformedMessageException
 import io.daisybend.entry.http.readAll
@@ -33,10 +32,14 @@
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
     /** Forwards [response] after its body was read completely; reports a failure if the body is incomplete. */
-    suspend fun relayWhole(endpoint: Endpoint, response: SendStart.HeadReceived): SendResult {
+    suspend fun relayWhole(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        tracked: TrackedExchange,
+    ): SendResult {
         val allocation = responseMemory.newAllocation()
         try {
-            return relayWhole(endpoint, response, allocation)
+            return relayWhole(endpoint, response, tracked, allocation)
         } finally {
             allocation.release()
         }
@@ -45,6 +48,7 @@
     private suspend fun relayWhole(
         endpoint: Endpoint,
         response: SendStart.HeadReceived,
+        tracked: TrackedExchange,
         allocation: BodyMemory.Allocation,
     ): SendResult {
         val body = try {
@@ -52,15 +56,12 @@
                 response.exchange.body.readAll(MAX_BUFFERED_RESPONSE_BYTES, allocation::tryReserve)
             }
         } catch (expectedBreak: IOException) {
-            null
+            return onBroken(endpoint, response, "an answer that broke off", connectionEnded = true)
         } catch (expectedMalformed: MalformedMessageException) {
             null
         }
-        if (body == null) {
-            response.exchange.abort()
-            endpointPool.recordFailure(endpoint)
-            return SendResult(SendOutcome.Unknown, "an answer that broke off")
-        }
+        if (body == null) return onBroken(endpoint, response, "an answer that broke off", connectionEnded = false)
+        if (response.head.status in SUCCESS) endpointPool.recordCompleteAnswer(admitted, tracked)
         response.exchange.finish()
         firstPieceMs = steadyMs() - admitted.arrivedAtMs
         connection.writeResponse(
@@ -85,26 +86,41 @@
                 headersForCaller(response.head.headers),
             )
         }
+        var connectionEnded = false
         val failureReason = try {
             withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { forwardEvents(response, tracked) } ?: "no end in time"
+        } catch (idle: StreamIdleException) {
+            idle.message.orEmpty()
         } catch (broken: IOException) {
+            connectionEnded = true
             broken.message.orEmpty()
         } catch (malformed: MalformedMessageException) {
             malformed.message.orEmpty()
         }
         if (failureReason.isEmpty()) {
             endpointPool.exchanges.onCompleted(tracked)
+            endpointPool.recordCompleteAnswer(admitted, tracked)
             connection.endResponse()
             return completedResult(response.head.status)
         }
-        response.exchange.abort()
         eventBuffer?.discardPartial()
+        return onBroken(endpoint, response, "a stream that broke off: $failureReason", connectionEnded)
+    }
+
+    private fun onBroken(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        reason: String,
+        connectionEnded: Boolean,
+    ): SendResult {
+        response.exchange.abort()
         if (remainingMs > 0) endpointPool.recordFailure(endpoint)
-        return SendResult(SendOutcome.Unknown, "a stream that broke off: $failureReason")
+        return SendResult(SendOutcome.Unknown, reason, connectionEnded = connectionEnded)
     }
 
     /** Forwards the body as it arrives; returns an empty string at the end of the stream. */
     private suspend fun forwardEvents(response: SendStart.HeadReceived, tracked: TrackedExchange): String {
+        var isProven = false
         var receivedBytes = 0
         while (true) {
             val bytes = readNextPiece(response) ?: break
@@ -113,6 +129,10 @@
             if (firstPieceMs == null) firstPieceMs = steadyMs() - admitted.arrivedAtMs
             tracked.progress.onBytes(bytes)
             endpointPool.exchanges.onFirstEvent(tracked)
+            if (!isProven && tracked.progress.eventCount >= PROVEN_EVENTS) {
+                isProven = true
+                endpointPool.recordProvenAnswer(admitted)
+            }
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
         }
         eventBuffer?.takeRemainder()?.let { connection.writeChunk(it) }
@@ -126,7 +146,7 @@
             piece = response.exchange.body.readPiece()
             true
         }
-        if (isInTime == null) throw ConnectionBrokenException(IOException("no event for $STREAM_IDLE_TIMEOUT_MS ms"))
+        if (isInTime == null) throw StreamIdleException("no event for $STREAM_IDLE_TIMEOUT_MS ms")
         return piece
     }
 
@@ -135,14 +155,19 @@
         return SendResult(SendOutcome.Unknown, "", RequestOutcome(status, cause, "ran"))
     }
 
-    private companion object {
-        const val MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
+    private class StreamIdleException(message: String) : IOException(message)
+
+    companion object {
+        /** Events after which an answer has gone on past its beginning. */
+        const val PROVEN_EVENTS = 2
+
+        private const val MAX_BUFFERED_RESPONSE_BYTES = 8_388_608
 
         /** Bytes after which a stream has no end: many times the longest output of a model. */
-        const val MAX_STREAM_BYTES = 8_388_608
-        val SUCCESS = 200..299
+        private const val MAX_STREAM_BYTES = 8_388_608
+        private val SUCCESS = 200..299
 
         /** Silence after which a resumable stream goes to another engine, in milliseconds: many times a usual pause. */
-        const val STREAM_IDLE_TIMEOUT_MS = 1_200L
+        private const val STREAM_IDLE_TIMEOUT_MS = 1_200L
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -34,6 +34,9 @@
 
     /** Tells one peer the complete state. */
     COMPLETE,
+
+    /** Tells the holder of the order duty the changed demand. */
+    DEMAND,
 }
 
 /** Exchanges reports with the peers by UDP. */
@@ -77,14 +80,16 @@
         scope.launch {
             while (true) {
                 demandChanged.receive()
-                load.measure(Activity.SEND_REPORTS) { sendComplete(socket, peers.all.filter { it.holdsDuty }) }
+                load.measure(Activity.SEND_REPORTS) {
+                    send(socket, ReportPurpose.DEMAND, peers.all.filter { it.holdsDuty })
+                }
                 delay(schedule.demandPauseMs(peers.vmCount))
             }
         }
         scope.launch {
             while (true) {
                 val peer = peers.find(uninformedPeers.receive()) ?: continue
-                load.measure(Activity.SEND_REPORTS) { sendComplete(socket, listOf(peer)) }
+                load.measure(Activity.SEND_REPORTS) { send(socket, ReportPurpose.COMPLETE, listOf(peer)) }
             }
         }
     }
@@ -109,9 +114,9 @@
             others.chunked(GROUP_SIZE).sumOf { send(socket, brief, it) }
     }
 
-    private suspend fun sendComplete(socket: BoundDatagramSocket, recipients: List<Peer>) {
+    private suspend fun send(socket: BoundDatagramSocket, purpose: ReportPurpose, recipients: List<Peer>) {
         if (recipients.isEmpty()) return
-        sending.withLock { send(socket, buildReport(ReportPurpose.COMPLETE), recipients) }
+        sending.withLock { send(socket, buildReport(purpose), recipients) }
     }
 
     /** Sends [report] to [recipients]; returns the number of bytes sent. */
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -8,6 +8,11 @@
 import io.daisybend.serving.endpoint.AdapterKey
 import io.daisybend.serving.endpoint.EngineHoldings
 import io.daisybend.serving.endpoint.HeldModel
+import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.quarantine.AnswerSpan
+import io.daisybend.serving.quarantine.EngineEnd
+import io.daisybend.serving.quarantine.PromptEvidence
+import io.daisybend.serving.quarantine.SuspectRequest
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -56,6 +61,36 @@
     val loadedInMs: Long,
 )
 
+/** A request that an engine had hardly answered when it ended. */
+@Serializable
+internal data class SuspectReport(val parts: List<String>, val started: Boolean)
+
+/** The end of an engine under requests of the sender. */
+@Serializable
+internal data class EngineEndReport(
+    val engine: String,
+    val bornMs: Long,
+    val agoMs: Long,
+    val requests: List<SuspectReport>,
+)
+
+/** A complete answer of an engine that was reported to have ended. */
+@Serializable
+internal data class EngineAnswerReport(
+    val engine: String,
+    val bornMs: Long,
+    val sentAgoMs: Long,
+    val endedAgoMs: Long,
+)
+
+/** Evidence about prompt parts that engines end under; see [PromptEvidence]. */
+@Serializable
+internal data class PromptEvidenceReport(
+    val ends: List<EngineEndReport> = emptyList(),
+    val provenAgoMs: Map<String, Long> = emptyMap(),
+    val answers: List<EngineAnswerReport> = emptyList(),
+)
+
 /** Report of one VM. */
 @Serializable
 internal data class PeerReport(
@@ -84,6 +119,7 @@
     /** Requests since the start of the sender, for the models and adapters that were requested lately. */
     val requests: Map<String, Int>,
     val holdings: List<HoldingsReport>,
+    val prompts: PromptEvidenceReport = PromptEvidenceReport(),
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -97,6 +133,28 @@
 internal fun HoldingsReport.toHoldings(): EngineHoldings =
     EngineHoldings(orderCount, models.mapValues { (name, adapters) -> HeldModel(name, adapters) })
 
+/** Returns the report of this evidence. */
+internal fun PromptEvidence.toReport() = PromptEvidenceReport(
+    ends.map { it.toReport() },
+    provenAgoMs,
+    answers.map { (engine, span) -> EngineAnswerReport(engine.id, engine.bornMs, span.sentAgoMs, span.endedAgoMs) },
+)
+
+/** Returns the report of this end. */
+internal fun EngineEnd.toReport() =
+    EngineEndReport(engine.id, engine.bornMs, agoMs, requests.map { SuspectReport(it.parts, it.hasStarted) })
+
+/** Returns the reported evidence. */
+internal fun PromptEvidenceReport.toEvidence() = PromptEvidence(
+    ends.map { it.toEngineEnd() },
+    provenAgoMs,
+    answers.associate { Incarnation(it.engine, it.bornMs) to AnswerSpan(it.sentAgoMs, it.endedAgoMs) },
+)
+
+/** Returns the reported end. */
+internal fun EngineEndReport.toEngineEnd() =
+    EngineEnd(Incarnation(engine, bornMs), agoMs, requests.map { SuspectRequest(it.parts, it.started) })
+
 /** Returns the key under which requests for [model] and [adapter] are counted. */
 internal fun modelKey(model: String, adapter: String?): String = adapter?.let { "$model/$it" } ?: model
 
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
@@ -0,0 +1,130 @@
+/*
+ * Keeps the evidence of the quarantines in force in the platform's store, for VMs that start or that their peers do not
+ * reach. A VM writes what it saw itself and reads the evidence at its start, before it serves, and again while peers are
+ * out of contact.
+ */
+package io.daisybend.entry.store
+
+import com.github.michaelbull.result.getOrElse
+import io.daisybend.entry.EventLog
+import io.daisybend.entry.peers.EngineEndReport
+import io.daisybend.entry.peers.toEngineEnd
+import io.daisybend.entry.peers.toReport
+import io.daisybend.platform.KeyedRecord
+import io.daisybend.platform.StoreClient
+import io.daisybend.platform.StoreTopic
+import io.daisybend.platform.writeKeyedRecord
+import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.quarantine.EngineEnd
+import io.daisybend.serving.quarantine.PromptEvidence
+import io.daisybend.serving.quarantine.PromptQuarantine
+import io.daisybend.serving.site.ClockPair
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** The end of an engine as it is kept; [endedAtMs] is a wall-clock time. */
+@Serializable
+private data class KeptEnd(val endedAtMs: Long, val end: EngineEndReport)
+
+/** Reads and writes kept evidence; [arePeersMissing] tells whether some peers are out of contact. */
+internal class QuarantineKeeper(
+    private val store: StoreClient,
+    private val quarantine: PromptQuarantine,
+    private val clocks: ClockPair,
+    private val log: EventLog,
+    private val arePeersMissing: () -> Boolean,
+) {
+    private val changed = Channel<Unit>(Channel.CONFLATED)
+
+    /** Engines whose ends are kept in the store. */
+    private val keptEngines = HashSet<Incarnation>()
+    private var isLoaded = false
+    private var wasQuarantining = false
+
+    /** Writes the evidence of new quarantines soon. */
+    fun keepSoon() {
+        changed.trySend(Unit)
+    }
+
+    /** Reads the kept evidence; logs a line if the store did not return it. */
+    suspend fun load() {
+        val newest = store.readNewest(StoreTopic.ENGINE_ENDS, STORE_TIMEOUT_MS).getOrElse {
+            log.write("quarantines-unread", "reason" to it.message)
+            return
+        }
+        isLoaded = true
+        val newEnds = newest.records.mapNotNull(::decode).filter { keptEngines.add(it.engine) }
+        if (newEnds.isEmpty()) return
+        log.write("quarantines-read", "engines" to newEnds.map { it.engine.id })
+        quarantine.onEvidence(PromptEvidence(newEnds), clocks.read().steadyMs)
+    }
+
+    private fun decode(record: KeyedRecord): EngineEnd? {
+        val text = record.value ?: return null
+        return try {
+            val kept = Json.decodeFromString(KeptEnd.serializer(), text)
+            kept.end.toEngineEnd().copy(agoMs = (clocks.read().wallMs - kept.endedAtMs).coerceAtLeast(0))
+        } catch (invalid: SerializationException) {
+            log.write("quarantine-record-unreadable", "key" to record.key, "reason" to invalid.message)
+            null
+        }
+    }
+
+    /** Keeps the store up to date until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            withTimeoutOrNull(POLL_INTERVAL_MS) { changed.receive() }
+            if (!isLoaded || arePeersMissing()) load()
+            if (!writeNewEnds() || !deleteReleased()) {
+                keepSoon()
+                delay(RETRY_INTERVAL_MS)
+            }
+        }
+    }
+
+    private suspend fun writeNewEnds(): Boolean {
+        val now = clocks.read()
+        return quarantine.ownQuarantinedEnds(now.steadyMs).filter { it.engine !in keptEngines }.all { end ->
+            val kept = KeptEnd(now.wallMs - end.agoMs, end.toReport())
+            val isWritten =
+                append(end.engine, Json.encodeToString(KeptEnd.serializer(), kept).encodeToByteArray())
+            if (isWritten) keptEngines.add(end.engine)
+            isWritten
+        }
+    }
+
+    /** Deletes all kept ends once the last quarantine has ended. */
+    private suspend fun deleteReleased(): Boolean {
+        if (quarantine.current.isNotEmpty()) wasQuarantining = true
+        if (!wasQuarantining || quarantine.current.isNotEmpty()) return true
+        val isDeleted = keptEngines.toList().all { engine ->
+            append(engine, ByteArray(0)).also { isDeleted -> if (isDeleted) keptEngines.remove(engine) }
+        }
+        if (isDeleted) wasQuarantining = false
+        return isDeleted
+    }
+
+    private suspend fun append(engine: Incarnation, value: ByteArray): Boolean {
+        val record = writeKeyedRecord("${engine.id}@${engine.bornMs}", value)
+        store.append(StoreTopic.ENGINE_ENDS, record, atOffset = null, STORE_TIMEOUT_MS).getOrElse {
+            log.write("quarantine-unwritten", "endpoint" to engine.id, "reason" to it.message)
+            return false
+        }
+        return true
+    }
+
+    private companion object {
+        /** Interval at which evidence is read while peers are out of contact, in milliseconds. */
+        const val POLL_INTERVAL_MS = 1_500L
+
+        /** Delay before another attempt to write, in milliseconds. */
+        const val RETRY_INTERVAL_MS = 400L
+
+        /** Timeout for a response of the store, in milliseconds. */
+        const val STORE_TIMEOUT_MS = 700L
+    }
+}
--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -2,6 +2,8 @@
 
 import io.daisybend.entry.standin.Behaviour
 import io.daisybend.entry.standin.FakeEndpoint
+import io.daisybend.entry.standin.FakeStore
+import io.daisybend.entry.standin.Response
 import io.daisybend.entry.standin.withSite
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.throwables.shouldThrow
@@ -221,4 +223,40 @@
             connect().call("GET", "/safe/x").status shouldBe 200
         }
     }
+
+    // Requests with one prompt part ended engine after engine, each with all its other streams.
+    test("a prompt part that ends engines is refused as not run after two ends, and other prompts are served") {
+        withSite {
+            configure()
+            var refused: Response? = null
+            repeat(12) { index ->
+                runCatching { connect().prompt("shared:10,dead:10,own$index:10") }.onSuccess { refused = it }
+                delay(100)
+                val sound = runCatching { connect().prompt("shared:10,s$index:10,own:10") }.getOrNull()
+                if (refused != null) sound.shouldNotBeNull().status shouldBe 200
+                delay(400)
+            }
+            val deadlyRuns = ran.filter { FakeEndpoint.DEADLY_PART in it.header("X-Daisybend-Prompt-Prefix").orEmpty() }
+            (deadlyRuns.size <= 3) shouldBe true
+            val response = refused.shouldNotBeNull()
+            response.status shouldBe 503
+            response.head.headers.any { it.name == "Retry-After" } shouldBe true
+            readMetrics(metrics()).keys.any { it.startsWith("daisybend_quarantined_prompt_parts{parts=") } shouldBe true
+        }
+    }
+
+    test("a VM that starts knows the quarantines that the store keeps before it serves") {
+        val request = """{"parts":["shared","dead"],"started":true}"""
+        val keepEnds: FakeStore.() -> Unit = {
+            repeat(2) {
+                val end = """{"engine":"e-9","bornMs":$it,"agoMs":0,"requests":[$request]}"""
+                put("keyed.ends", "e-9@$it", """{"endedAtMs":${System.currentTimeMillis()},"end":$end}""")
+            }
+        }
+        withSite(records = keepEnds) {
+            configure()
+            connect().prompt("shared:10,dead:10,own:10").status shouldBe 503
+            ran.shouldBeEmpty()
+        }
+    }
 })
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -30,6 +30,9 @@
 }
 
 internal class FakeEndpoint(val id: String) {
+    /** Ends the process of the endpoint; called when it begins to answer a prompt with [DEADLY_PART]. */
+    var crash: () -> Unit = {}
+
     /** Behaviours for the next requests. */
     val behaviours = ConcurrentLinkedQueue<Behaviour>()
 
@@ -72,6 +75,10 @@
             }
             return
         }
+        if (DEADLY_PART in call.header("X-Daisybend-Prompt-Prefix").orEmpty()) {
+            call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + Header("Transfer-Encoding", "chunked")))
+            return crash()
+        }
         val firstEvent = (call.header("Last-Event-Id")?.toInt() ?: 0) + 1
         call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + Header("Transfer-Encoding", "chunked")))
         for (number in firstEvent..EVENTS) {
@@ -97,6 +104,7 @@
 
     companion object {
         const val EVENTS = 6
+        const val DEADLY_PART = "dead"
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
         private const val LARGE_RESPONSE_BYTES = 200_000
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -22,8 +22,10 @@
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 
 /** One request to a fake server, with the means to respond. */
 internal class FakeServerCall(
@@ -47,22 +49,46 @@
 /** Listens on an unused port of the loopback address. */
 internal class FakeServer(private val scope: CoroutineScope, private val handle: suspend (FakeServerCall) -> Unit) {
     private lateinit var server: ServerSocket
+    private lateinit var selector: SelectorManager
+    private val connections = ConcurrentHashMap.newKeySet<Socket>()
 
     /** The port of the server. */
     val port: Int get() = (server.localAddress as InetSocketAddress).port
 
     suspend fun start(selector: SelectorManager): FakeServer {
-        server = aSocket(selector).tcp().bind(InetSocketAddress("127.0.0.1", 0))
+        this.selector = selector
+        return listen(port = 0)
+    }
+
+    /** Closes all connections and listens again after [downMs] milliseconds. */
+    fun crash(downMs: Long) {
+        val crashedPort = port
+        server.close()
+        connections.forEach { it.close() }
         scope.launch {
-            while (true) {
-                val socket = server.accept()
-                scope.launch { serve(socket) }
+            delay(downMs)
+            listen(crashedPort)
+        }
+    }
+
+    private suspend fun listen(port: Int): FakeServer {
+        val listening = aSocket(selector).tcp().bind(InetSocketAddress("127.0.0.1", port)) { reuseAddress = true }
+        server = listening
+        scope.launch {
+            try {
+                while (true) {
+                    val socket = listening.accept()
+                    scope.launch { serve(socket) }
+                }
+            } catch (expectedCrash: IOException) {
+                listening.close()
             }
         }
         return this
     }
 
     private suspend fun serve(socket: Socket) {
+        connections.add(socket)
         val source = ByteSource(socket.openReadChannel())
         val sink = socket.openWriteChannel()
         try {
@@ -74,6 +100,7 @@
         } catch (expectedEnd: IOException) {
             return
         } finally {
+            connections.remove(socket)
             socket.close()
         }
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -54,9 +54,11 @@
         key: String? = "k1",
         id: String = nextId(),
         model: String? = null,
+        prompt: String? = null,
     ) {
         val headers = listOfNotNull(
             model?.let { Header("X-Daisybend-Model", it) },
+            prompt?.let { Header("X-Daisybend-Prompt-Prefix", it) },
             Header("Host", "site.example"),
             Header("X-Daisybend-Attempt-Id", id),
             key?.let { Header("X-Api-Key", it) },
@@ -75,6 +77,12 @@
         return read()
     }
 
+    /** Sends a stream request with [prompt] and reads the response. */
+    suspend fun prompt(prompt: String): Response {
+        send("POST", "/stream/x", "prompt", model = "m1", prompt = prompt)
+        return read()
+    }
+
     fun close() = socket.close()
 
     companion object {
@@ -101,9 +109,13 @@
     suspend fun start(vararg moreSettings: String): Site {
         val storePort = FakeServer(scope, store::handle).start(selector).port
         endpoints.forEach { endpoint ->
-            val port = FakeServer(scope, endpoint::handle).start(selector).port
-            val address = """"address":"127.0.0.1:$port","zone":"north""""
-            store.put("keyed.servers", endpoint.id, """{"service":"s1",$address,"slots":6,"state":"ready","born":1}""")
+            val server = FakeServer(scope, endpoint::handle).start(selector)
+            register(endpoint, server.port, bornMs = 1)
+            var starts = 1
+            endpoint.crash = {
+                server.crash(DOWN_MS)
+                register(endpoint, server.port, bornMs = ++starts)
+            }
         }
         val settings = """
             nodeName=vm-1
@@ -127,6 +139,12 @@
         return this
     }
 
+    private fun register(endpoint: FakeEndpoint, port: Int, bornMs: Int) {
+        val address = """"address":"127.0.0.1:$port","zone":"north""""
+        val state = """"slots":6,"state":"ready","born":$bornMs"""
+        store.put("keyed.servers", endpoint.id, """{"service":"s1",$address,$state}""")
+    }
+
     suspend fun configure(version: Int = 1, keys: String = "\"k1\""): Site {
         store.put("keyed.op", "config", configurationOf(version, keys))
         eventually(10.seconds) { connect().call("GET", "/safe/x").status shouldBe 200 }
@@ -157,13 +175,21 @@
     fun queueForAll(behaviour: Behaviour) = endpoints.forEach { it.behaviours.add(behaviour) }
 
     val ran get() = endpoints.flatMap { it.ran }
+
+    private companion object {
+        const val DOWN_MS = 300L
+    }
 }
 
-/** Runs [check] at a new site, whose VM has [moreSettings], and stops the site. */
-internal suspend fun withSite(vararg moreSettings: String, check: suspend Site.() -> Unit) {
+/** Runs [check] at a new site, whose store has [records] and whose VM has [moreSettings], and stops the site. */
+internal suspend fun withSite(
+    vararg moreSettings: String,
+    records: FakeStore.() -> Unit = {},
+    check: suspend Site.() -> Unit,
+) {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     try {
-        Site(scope).start(*moreSettings).check()
+        Site(scope).apply { store.records() }.start(*moreSettings).check()
     } finally {
         scope.cancel()
     }
--- /dev/null
+++ b/serving/src/main/kotlin/io/daisybend/serving/quarantine/PromptQuarantine.kt
@@ -0,0 +1,247 @@
+/*
+ * Keeps requests away from engines if their prompts contain a part that ends each engine that answers it. Every VM
+ * derives the same quarantines from the evidence of all VMs. A quarantine ends when an engine has answered its parts:
+ * after some time one VM, the first in an order that all VMs know, sends one request as a trial.
+ */
+package io.daisybend.serving.quarantine
+
+import io.daisybend.serving.endpoint.Incarnation
+
+/**
+ * The quarantine of one VM; thread-safe. [rankOf] returns the place of this VM, 0 first, in the order of the VMs for a
+ * key. Calls [requestEarlyReport] when the peers should learn of evidence without delay, and [onChange] with the
+ * quarantines in force when they have changed.
+ */
+public class PromptQuarantine(
+    private val settings: QuarantineSettings = QuarantineSettings(),
+    private val rankOf: (String) -> Int = { 0 },
+    private val requestEarlyReport: () -> Unit = {},
+    private val onChange: (List<Quarantine>) -> Unit = {},
+) {
+    private class Evidence(val atMs: Long, val isOwn: Boolean) {
+        val requests = LinkedHashSet<SuspectRequest>()
+        var reportsLeft = 0
+    }
+
+    private class Answer(val sentAtMs: Long, val endedAtMs: Long)
+
+    private val lock = Any()
+    private val ends = LinkedHashMap<Incarnation, Evidence>()
+    private val provenAtMs = LeastRecentlyUsed<String, Long>(settings.maxProofs)
+    private val answers = LeastRecentlyUsed<Incarnation, Answer>(settings.maxProofs)
+    private val provenReportsLeft = HashMap<String, Int>()
+    private val answerReportsLeft = HashMap<Incarnation, Int>()
+    private val trialAtMs = HashMap<String, Long>()
+
+    @Volatile
+    private var quarantines: List<Quarantine> = emptyList()
+
+    /** The quarantines in force. */
+    public val current: List<Quarantine> get() = quarantines
+
+    /** Decides at [nowMs] whether a request whose prompt contains [parts] may be sent. */
+    public fun check(parts: List<String>, nowMs: Long): QuarantineVerdict {
+        if (quarantines.isEmpty()) return QuarantineVerdict.Allowed
+        return synchronized(lock) {
+            val quarantine = quarantines.firstOrNull { parts.containsAll(it.parts) }
+            when {
+                quarantine == null || takeTrial(quarantine, nowMs) -> QuarantineVerdict.Allowed
+                else -> QuarantineVerdict.Refused(quarantine, retryAfterMs(quarantine, nowMs))
+            }
+        }
+    }
+
+    /** Whether a request with [parts] that was sent must be taken back; takes no trial. */
+    public fun isQuarantined(parts: List<String>): Boolean {
+        val quarantine = quarantines.firstOrNull { parts.containsAll(it.parts) } ?: return false
+        return synchronized(lock) { quarantine.key !in trialAtMs }
+    }
+
+    private fun takeTrial(quarantine: Quarantine, nowMs: Long): Boolean {
+        if (quarantine.failedTrials >= settings.maxTrials) return false
+        val turnAtMs = quarantine.untilMs + rankOf(quarantine.key) * settings.trialTurnMs
+        val lastTrialAtMs = trialAtMs[quarantine.key]
+        if (nowMs < turnAtMs || (lastTrialAtMs != null && nowMs < lastTrialAtMs + settings.trialTurnMs)) return false
+        trialAtMs[quarantine.key] = nowMs
+        return true
+    }
+
+    private fun retryAfterMs(quarantine: Quarantine, nowMs: Long): Long =
+        (quarantine.untilMs - nowMs).coerceAtLeast(settings.trialTurnMs)
+
+    /** Records that an answer to a prompt with [parts] went on past its beginning at [nowMs]. */
+    public fun onAnswerProven(parts: List<String>, nowMs: Long): Unit = synchronized(lock) {
+        val newProofs = parts.filter { isNewProof(it, nowMs) }
+        parts.forEach { provenAtMs[it] = nowMs }
+        newProofs.forEach { provenReportsLeft[it] = REPORTS_OF_A_CHANGE }
+        if (newProofs.isNotEmpty() && evaluate(nowMs)) requestEarlyReport()
+    }
+
+    /** Records that [engine] completed at [nowMs] the answer to a request sent at [sentAtMs], so it had not ended. */
+    public fun onAnswerCompleted(engine: Incarnation, sentAtMs: Long, nowMs: Long): Unit = synchronized(lock) {
+        answers[engine] = Answer(sentAtMs, nowMs)
+        if (!isRefuted(engine)) return
+        answerReportsLeft[engine] = REPORTS_OF_A_CHANGE
+        ends.remove(engine)
+        if (evaluate(nowMs)) requestEarlyReport()
+    }
+
+    /** Whether an answer to [part] at [atMs] is the first one known, or the first one after an end under the part. */
+    private fun isNewProof(part: String, atMs: Long): Boolean {
+        val endsUnderPart = ends.values.filter { end -> end.requests.any { part in it.parts } }
+        val lastEndAtMs = endsUnderPart.maxOfOrNull { it.atMs } ?: return false
+        val known = provenAtMs[part]
+        return known == null || lastEndAtMs in known until atMs
+    }
+
+    /** Records that this VM saw [engine] end at [atMs] under [requests]. */
+    public fun onEngineEnded(engine: Incarnation, requests: List<SuspectRequest>, atMs: Long, nowMs: Long): Unit =
+        synchronized(lock) {
+            if (!merge(EngineEnd(engine, nowMs - atMs, requests), nowMs, isOwn = true)) return
+            evaluate(nowMs)
+            requestEarlyReport()
+        }
+
+    /** Applies the [evidence] of a peer, or kept evidence, received at [nowMs]. */
+    public fun onEvidence(evidence: PromptEvidence, nowMs: Long): Unit = synchronized(lock) {
+        val newEnds = evidence.ends.filter { merge(it, nowMs, isOwn = false) }
+        newEnds.flatMap { end -> end.requests.flatMap { it.parts } }.filter { it in provenAtMs }
+            .forEach { provenReportsLeft[it] = REPORTS_OF_A_CHANGE }
+        val newProofs = evidence.provenAgoMs.filter { (part, agoMs) -> isNewProof(part, nowMs - agoMs) }
+        evidence.provenAgoMs.forEach { (part, agoMs) -> provenAtMs.merge(part, nowMs - agoMs, ::maxOf) }
+        evidence.answers.forEach { (engine, span) ->
+            answers[engine] = Answer(nowMs - span.sentAgoMs, nowMs - span.endedAgoMs)
+        }
+        val refuted = evidence.answers.keys.filter(::isRefuted)
+        ends.keys.removeAll(refuted.toSet())
+        if (newEnds.isNotEmpty() || newProofs.isNotEmpty() || refuted.isNotEmpty()) evaluate(nowMs)
+    }
+
+    /** Merges [end] into the evidence; returns whether that changed anything. */
+    private fun merge(end: EngineEnd, nowMs: Long, isOwn: Boolean): Boolean {
+        val atMs = nowMs - end.agoMs
+        if (answers[end.engine]?.outlasts(atMs) == true) {
+            answerReportsLeft[end.engine] = REPORTS_OF_A_CHANGE
+            return false
+        }
+        val known = ends.getOrPut(end.engine) { Evidence(atMs, isOwn) }
+        val requests = end.requests.map { it.copy(parts = it.parts.take(settings.maxPartsPerRequest)) }
+        val added = requests.filter { known.add(it) }
+        if (isOwn && added.isNotEmpty()) known.reportsLeft = REPORTS_OF_A_CHANGE
+        while (ends.size > settings.maxEnds) ends.remove(ends.keys.first())
+        return added.isNotEmpty()
+    }
+
+    /** Adds [request]; a begun answer displaces a request that waited when there are too many. */
+    private fun Evidence.add(request: SuspectRequest): Boolean {
+        if (request in requests) return false
+        if (requests.size >= settings.maxRequestsPerEnd) {
+            val displaced = requests.firstOrNull { !it.hasStarted }?.takeIf { request.hasStarted } ?: return false
+            requests.remove(displaced)
+        }
+        return requests.add(request)
+    }
+
+    private fun isRefuted(engine: Incarnation): Boolean =
+        ends[engine]?.let { answers[engine]?.outlasts(it.atMs) } ?: false
+
+    /** Whether the answer began before and ended after the reported end of its engine at [endAtMs]. */
+    private fun Answer.outlasts(endAtMs: Long) =
+        sentAtMs < endAtMs && endedAtMs > endAtMs + settings.answerDelayMs
+
+    /** Forgets evidence that is too old at [nowMs]. */
+    public fun removeExpired(nowMs: Long): Unit = synchronized(lock) {
+        val quarantined = quarantines.flatMapTo(HashSet()) { it.endedAtMs.keys }
+        val isRemoved = ends.entries.removeIf { (engine, end) ->
+            val keptMs = if (engine in quarantined) settings.quarantinedEvidenceMs else settings.evidenceMs
+            nowMs - end.atMs > keptMs
+        }
+        if (isRemoved) evaluate(nowMs)
+    }
+
+    /** Derives the quarantines from the evidence; returns whether they changed. */
+    private fun evaluate(nowMs: Long): Boolean {
+        val recorded = ends.map { (engine, end) -> RecordedEnd(engine, end.atMs, end.requests) }
+        val derived = assignBlame(recorded, settings) { provenAtMs[it] }.map(::toQuarantine)
+        trialAtMs.entries.removeIf { (key, atMs) ->
+            derived.none { it.key == key && it.lastEndAtMs < atMs } || nowMs - atMs > settings.evidenceMs
+        }
+        provenReportsLeft.keys.removeIf { part -> ends.values.none { end -> end.requests.any { part in it.parts } } }
+        if (derived == quarantines) return false
+        quarantines = derived
+        onChange(derived)
+        return true
+    }
+
+    private fun toQuarantine(blamed: BlamedParts): Quarantine {
+        val endedAtMs = blamed.ends.associate { it.engine to it.atMs }
+        val settledAtMs = endedAtMs.values.sorted()[settings.minEnds - 1] + settings.settleMs
+        val failedTrials = endedAtMs.values.count { it > settledAtMs }
+        val durationMs = settings.quarantineMs shl (failedTrials.coerceAtMost(settings.maxTrials) * TRIAL_BACKOFF_BITS)
+        return Quarantine(blamed.parts, endedAtMs, failedTrials, untilMs = endedAtMs.values.max() + durationMs)
+    }
+
+    /**
+     * Returns what changed since the last reports, for all peers. Each change is returned in several successive
+     * reports, since some may be lost.
+     */
+    public fun reportChanges(nowMs: Long): PromptEvidence = synchronized(lock) {
+        PromptEvidence(
+            ends = newestEnds(nowMs) { it.reportsLeft-- > 0 },
+            provenAgoMs = takeReports(provenReportsLeft).agesOf(provenAtMs, nowMs),
+            answers = takeReports(answerReportsLeft).mapNotNull { engine -> answers[engine]?.let { engine to it } }
+                .associate { (engine, answer) ->
+                    engine to AnswerSpan(nowMs - answer.sentAtMs, nowMs - answer.endedAtMs)
+                },
+        )
+    }
+
+    /** Returns the newest evidence, for a peer that may know none of it. */
+    public fun evidence(nowMs: Long): PromptEvidence = synchronized(lock) {
+        val known = newestEnds(nowMs) { true }
+        val parts = known.flatMapTo(LinkedHashSet()) { end -> end.requests.flatMap { it.parts } }
+        PromptEvidence(known, parts.agesOf(provenAtMs, nowMs))
+    }
+
+    private fun newestEnds(nowMs: Long, isDue: (Evidence) -> Boolean): List<EngineEnd> {
+        var leftChars = settings.maxReportChars
+        return ends.entries.reversed().filter {
+            isDue(it.value)
+        }.map { (engine, end) -> end.toEngineEnd(engine, nowMs) }
+            .takeWhile { end ->
+                leftChars -= end.requests.sumOf { request -> request.parts.sumOf { it.length } }
+                leftChars >= 0
+            }
+    }
+
+    /** Returns the ends of the quarantines in force that this VM saw itself, for the store. */
+    public fun ownQuarantinedEnds(nowMs: Long): List<EngineEnd> = synchronized(lock) {
+        val quarantined = quarantines.flatMapTo(HashSet()) { it.endedAtMs.keys }
+        ends.filter { (engine, end) -> end.isOwn && engine in quarantined }
+            .map { (engine, end) -> end.toEngineEnd(engine, nowMs) }
+    }
+
+    private fun Evidence.toEngineEnd(engine: Incarnation, nowMs: Long) =
+        EngineEnd(engine, nowMs - atMs, requests.toList())
+
+    private fun <K> takeReports(reportsLeft: MutableMap<K, Int>): List<K> {
+        val due = reportsLeft.keys.toList()
+        due.forEach { key -> reportsLeft.computeIfPresent(key) { _, left -> (left - 1).takeIf { it > 0 } } }
+        return due
+    }
+
+    private fun Collection<String>.agesOf(atMs: Map<String, Long>, nowMs: Long): Map<String, Long> =
+        mapNotNull { key -> atMs[key]?.let { key to nowMs - it } }.toMap()
+
+    private class LeastRecentlyUsed<K, V>(private val maxEntries: Int) : LinkedHashMap<K, V>(16, 0.75f, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<K, V>): Boolean = size > maxEntries
+    }
+
+    private companion object {
+        /** Number of successive reports that contain a change. */
+        const val REPORTS_OF_A_CHANGE = 3
+
+        /** A failed trial makes the quarantine four times as long. */
+        const val TRIAL_BACKOFF_BITS = 2
+    }
+}
