Split the demand for models off EndpointPool

ModelDemandTracker counts waiting and past requests as before; selectNow decides what is possible without waiting.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -330,8 +330,8 @@
             renewal = leaseManager.renewalToDelegate(),
             holdsDuty = leaseManager.currentEpoch() != null,
             endpoints = endpointPool.exchanges.endpointUses(),
-            queuedDemand = endpointPool.queuedDemand(),
-            requests = endpointPool.requestCounts(peers.repeatWindowMs),
+            queuedDemand = endpointPool.demand.queuedDemand(),
+            requests = endpointPool.demand.requestCounts(peers.repeatWindowMs),
             holdings =
             if (leaseManager.currentEpoch() != null) orderController.announcements(changedSinceMs) else emptyList(),
             prompts = when (purpose) {
--- a/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
@@ -53,11 +53,11 @@
             .groupBy { it.endpoint }
 
     override fun allQueuedDemand(): List<QueuedDemandReport> =
-        peers.aliveReports(steadyMs()).flatMap { it.queuedDemand } + endpointPool.queuedDemand()
+        peers.aliveReports(steadyMs()).flatMap { it.queuedDemand } + endpointPool.demand.queuedDemand()
 
     override fun allRequestCounts(): Map<String, Map<String, Int>> =
         peers.aliveReports(steadyMs()).associate { "${it.vm}@${it.startedAtMs}" to it.requests } +
-            (ownVm to endpointPool.requestCounts(peers.repeatWindowMs))
+            (ownVm to endpointPool.demand.requestCounts(peers.repeatWindowMs))
 
     override fun loadedInMs(model: String): Long? =
         listOfNotNull(orderController.loadedInMs(model), loadForecast.loadedInMs(model, steadyMs())).minOrNull()
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -7,7 +7,6 @@
 import io.daisybend.entry.Activity
 import io.daisybend.entry.LoadMonitor
 import io.daisybend.entry.peers.EndpointUse
-import io.daisybend.entry.peers.QueuedDemandReport
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.attempt.RetryBudget
 import io.daisybend.serving.attempt.RetryBudgetSettings
@@ -34,12 +33,6 @@
     data class Unavailable(val reason: String, val retryAfterMs: Long) : EndpointSelection
 }
 
-private data class DemandKey(val service: String, val model: String, val urgency: Int)
-
-private class WaitingRequest(val sinceMs: Long)
-
-private class RequestCount(val count: Int, val lastAtMs: Long)
-
 /** State of the fleet that endpoint selection depends on. */
 internal interface FleetView {
     /** Returns the current use of endpoints by the peers, by endpoint id. */
@@ -73,30 +66,24 @@
 ) {
     private val changes = MutableStateFlow(0L)
     private val changeCount = AtomicLong()
-    private val waitingRequests = ConcurrentHashMap<DemandKey, ConcurrentHashMap<WaitingRequest, Unit>>()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val promptCache = PromptCacheIndex()
 
     /** Requests of this VM in progress at endpoints. */
     val exchanges = ExchangeTracker(table, promptCache, steadyMs)
-    private val requestCounts = ConcurrentHashMap<String, RequestCount>()
+
+    /** Demand of this VM for models. */
+    val demand = ModelDemandTracker(steadyMs)
 
     /** Wakes waiting requests after endpoints or their holdings have changed. */
     fun onEndpointsChanged() {
         changes.value = changeCount.incrementAndGet()
     }
 
-    /** Counts a new request for [service] and for the model and adapter of [demand]. */
-    fun recordRequest(service: String, demand: ModelDemand?) {
+    /** Counts a new request for [service] and for the model and adapter of [modelDemand]. */
+    fun recordRequest(service: String, modelDemand: ModelDemand?) {
         budget(service).onRequest(steadyMs())
-        if (demand == null) return
-        countRequest(demand.model)
-        demand.adapter?.let { countRequest(modelKey(demand.model, it)) }
-    }
-
-    private fun countRequest(modelKey: String) {
-        val now = steadyMs()
-        requestCounts.compute(modelKey) { _, known -> RequestCount((known?.count ?: 0) + 1, now) }
+        modelDemand?.let(demand::onRequest)
     }
 
     /** Takes one retry for [service] from its retry budget; returns false if the budget is exhausted. */
@@ -109,19 +96,14 @@
      * in time.
      */
     suspend fun select(admitted: AdmittedRequest, exclude: Set<String>): EndpointSelection {
-        refusalByQuarantine(admitted)?.let { return it }
-        when (val choice = choose(admitted, exclude)) {
-            is EndpointChoice.Send -> return EndpointSelection.Selected(choice.endpoint)
-            EndpointChoice.NoEndpoint -> return noEndpoint(admitted)
-            EndpointChoice.NotHeld -> Unit
-        }
-        val demand = admitted.caller.demand ?: return noEndpoint(admitted)
-        val waitStartedAtMs = steadyMs()
-        val (key, request) = addWaiting(admitted, demand, waitStartedAtMs)
+        selectNow(admitted, exclude)?.let { return it }
+        val modelDemand = admitted.caller.demand ?: return noEndpoint(admitted)
+        val waiting = demand.startWaiting(admitted.service.name, modelDemand, admitted.priority)
+        fleet.onDemandChanged()
         try {
-            return awaitModel(admitted, demand, exclude, waitStartedAtMs)
+            return awaitModel(admitted, modelDemand, exclude, waiting.sinceMs)
         } finally {
-            waitingRequests[key]?.remove(request)
+            demand.endWaiting(waiting)
         }
     }
 
@@ -133,18 +115,21 @@
     ): EndpointSelection {
         while (true) {
             val seen = changes.value
-            refusalByQuarantine(admitted)?.let { return it }
-            when (val choice = choose(admitted, exclude)) {
-                is EndpointChoice.Send -> return EndpointSelection.Selected(choice.endpoint)
-                EndpointChoice.NoEndpoint -> return noEndpoint(admitted)
-                EndpointChoice.NotHeld -> Unit
-            }
+            selectNow(admitted, exclude)?.let { return it }
             val waitMs = remainingWaitMs(admitted, demand.model, waitStartedAtMs)
             if (waitMs <= 0) return modelNotHeld(demand.model)
             withTimeoutOrNull(waitMs.coerceAtMost(RECHECK_INTERVAL_MS)) { changes.first { it != seen } }
         }
     }
 
+    /** Returns the selection that is possible now, or null if the request may wait for its model. */
+    private fun selectNow(admitted: AdmittedRequest, exclude: Set<String>): EndpointSelection? =
+        refusalByQuarantine(admitted) ?: when (val choice = choose(admitted, exclude)) {
+            is EndpointChoice.Send -> EndpointSelection.Selected(choice.endpoint)
+            EndpointChoice.NoEndpoint -> noEndpoint(admitted)
+            EndpointChoice.NotHeld -> null
+        }
+
     private fun refusalByQuarantine(admitted: AdmittedRequest): EndpointSelection.Unavailable? {
         val now = steadyMs()
         return when (val verdict = quarantine.check(admitted.sharedPartIds, now)) {
@@ -219,18 +204,6 @@
         return EndpointSelection.Unavailable(reason, expectedMs ?: MODEL_NOT_HELD_RETRY_AFTER_MS)
     }
 
-    private fun addWaiting(
-        admitted: AdmittedRequest,
-        demand: ModelDemand,
-        sinceMs: Long,
-    ): Pair<DemandKey, WaitingRequest> {
-        val key = DemandKey(admitted.service.name, modelKey(demand.model, demand.adapter), admitted.priority)
-        val request = WaitingRequest(sinceMs)
-        waitingRequests.computeIfAbsent(key) { ConcurrentHashMap() }[request] = Unit
-        fleet.onDemandChanged()
-        return key to request
-    }
-
     /**
      * Returns how much longer a request may wait for [model], in milliseconds. The wait ends early enough to serve the
      * request or to refuse it before the caller times out; it is 0 if the load is expected too late.
@@ -269,21 +242,6 @@
         admitted.caller.demand?.let { table.onModelRefused(endpoint, modelKey(it.model, it.adapter), steadyMs()) }
     }
 
-    /** Returns the waiting requests of this VM, by service, model and priority, for the report to the peers. */
-    fun queuedDemand(): List<QueuedDemandReport> {
-        val now = steadyMs()
-        return waitingRequests.mapNotNull { (key, requests) ->
-            val longestWaitingSinceMs = requests.keys.minOfOrNull { it.sinceMs } ?: return@mapNotNull null
-            QueuedDemandReport(key.service, key.model, requests.size, key.urgency, now - longestWaitingSinceMs)
-        }
-    }
-
-    /** Returns the requests since the start of this VM for each model and adapter requested in the last [windowMs]. */
-    fun requestCounts(windowMs: Long): Map<String, Int> {
-        val sinceMs = steadyMs() - windowMs
-        return requestCounts.filterValues { it.lastAtMs >= sinceMs }.mapValues { it.value.count }
-    }
-
     private companion object {
         /** Duration of a short request, in milliseconds; with less time left a request cannot be served. */
         const val MIN_SERVICE_TIME_MS = 300L
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ModelDemandTracker.kt
@@ -0,0 +1,63 @@
+/*
+ * Demand of this VM for models: the requests that wait for a model, and how many requests there were for each model and
+ * adapter. The holder of the order duty plans with it.
+ */
+package io.daisybend.entry.exchange
+
+import io.daisybend.entry.peers.QueuedDemandReport
+import io.daisybend.entry.peers.modelKey
+import io.daisybend.serving.endpoint.ModelDemand
+import java.util.concurrent.ConcurrentHashMap
+
+/** Requests with the same key wait for the same model with the same urgency. */
+internal data class DemandKey(val service: String, val model: String, val urgency: Int)
+
+/** A request that waits since [sinceMs], in milliseconds of the monotonic clock. */
+internal class WaitingRequest(val key: DemandKey, val sinceMs: Long)
+
+/** Counts waiting and past requests. */
+internal class ModelDemandTracker(private val steadyMs: () -> Long) {
+    private class RequestCount(val count: Int, val lastAtMs: Long)
+
+    private val waitingRequests = ConcurrentHashMap<DemandKey, ConcurrentHashMap<WaitingRequest, Unit>>()
+    private val requestCounts = ConcurrentHashMap<String, RequestCount>()
+
+    /** Counts a new request for the model and adapter of [demand]. */
+    fun onRequest(demand: ModelDemand) {
+        countRequest(demand.model)
+        demand.adapter?.let { countRequest(modelKey(demand.model, it)) }
+    }
+
+    private fun countRequest(modelKey: String) {
+        val now = steadyMs()
+        requestCounts.compute(modelKey) { _, known -> RequestCount((known?.count ?: 0) + 1, now) }
+    }
+
+    /** Records that a request of [service] begins to wait for the model and adapter of [demand]. */
+    fun startWaiting(service: String, demand: ModelDemand, urgency: Int): WaitingRequest {
+        val key = DemandKey(service, modelKey(demand.model, demand.adapter), urgency)
+        val request = WaitingRequest(key, steadyMs())
+        waitingRequests.computeIfAbsent(key) { ConcurrentHashMap() }[request] = Unit
+        return request
+    }
+
+    /** Records that [request] waits no longer. */
+    fun endWaiting(request: WaitingRequest) {
+        waitingRequests[request.key]?.remove(request)
+    }
+
+    /** Returns the waiting requests of this VM, by service, model and priority, for the report to the peers. */
+    fun queuedDemand(): List<QueuedDemandReport> {
+        val now = steadyMs()
+        return waitingRequests.mapNotNull { (key, requests) ->
+            val longestWaitingSinceMs = requests.keys.minOfOrNull { it.sinceMs } ?: return@mapNotNull null
+            QueuedDemandReport(key.service, key.model, requests.size, key.urgency, now - longestWaitingSinceMs)
+        }
+    }
+
+    /** Returns the requests since the start of this VM for each model and adapter requested in the last [windowMs]. */
+    fun requestCounts(windowMs: Long): Map<String, Int> {
+        val sinceMs = steadyMs() - windowMs
+        return requestCounts.filterValues { it.lastAtMs >= sinceMs }.mapValues { it.value.count }
+    }
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
@@ -1,7 +1,7 @@
 /*
  * Keeps the evidence of the quarantines in force in the platform's store, for VMs that start or that their peers do not
- * reach. A VM writes what it saw itself and reads the evidence at its start, before it serves, and again while peers are
- * out of contact.
+ * reach. A VM writes what it saw itself and reads the evidence at its start, before it serves, and again while peers
+ * are out of contact.
  */
 package io.daisybend.entry.store
 
