Treat a stream that ends inside an event as broken off

A response with neither a length nor chunks ends with its connection. A stream of that kind that ended inside an event was passed on as complete: the caller got a last chunk after half an event, and a resumable stream was not resumed.

Change: forwardEvents fails if the stream ends inside an event, or ends with its connection before its first event. Resumable streams then go on at another engine after the last complete event; other streams end with a closed connection. Ruled out: the reading itself; an orderly end and a reset are told apart already, and whole responses without a length were passed on correctly (first new test, passed before).

Tests: two of the three new ones of EntryVmTest failed before ("no exception was thrown", "id: 4 da" as the end of the stream) and pass now.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -4,6 +4,8 @@
  */
 package io.daisybend.entry.exchange
 
+import io.daisybend.entry.http.BodyFraming
+import io.daisybend.entry.http.ConnectionBrokenException
 import io.daisybend.entry.http.MalformedMessage
 import io.daisybend.entry.http.MalformedMessageException
 import io.daisybend.entry.http.readAll
@@ -11,6 +13,7 @@
 import io.daisybend.serving.attempt.SendOutcome
 import io.daisybend.serving.endpoint.Endpoint
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.EOFException
 import java.io.IOException
 
 /** Forwards responses for [admitted] to [connection]. */
@@ -135,6 +138,11 @@
             }
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
         }
+        if (tracked.progress.isInsideEvent) throw ConnectionBrokenException(EOFException("the stream ends in an event"))
+        // Without a length or chunks, an engine that ends before its first event looks like the end of the stream.
+        if (response.head.framing == BodyFraming.UntilClose && tracked.progress.eventCount == 0) {
+            throw ConnectionBrokenException(EOFException("the stream ends before its first event"))
+        }
         eventBuffer?.takeRemainder()?.let { connection.writeChunk(it) }
         return ""
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -127,6 +127,39 @@
         }
     }
 
+    test("a response with neither a length nor chunks is complete at the orderly end of its connection") {
+        withSite {
+            configure()
+            queueForAll(Behaviour.UNFRAMED)
+            connect().call("POST", "/once/x", "1").body.substringAfter(':') shouldBe "1"
+            queueForAll(Behaviour.UNFRAMED)
+            val events = (1..FakeEndpoint.EVENTS).joinToString("") { "id: $it\ndata: $it\n\n" }
+            connect().call("POST", "/stream/x", "prompt").body shouldBe events
+            queueForAll(Behaviour.UNFRAMED)
+            connect().call("POST", "/events/x", "prompt").body shouldBe events
+        }
+    }
+
+    test("a stream without length or chunks that ends within an event is resumed where that is allowed") {
+        withSite {
+            configure()
+            repeat(4) {
+                endpoints[0].behaviours.add(Behaviour.UNFRAMED_BREAK_MID_EVENT)
+                val response = connect().call("POST", "/stream/x", "prompt")
+                response.body shouldBe (1..FakeEndpoint.EVENTS).joinToString("") { "id: $it\ndata: $it\n\n" }
+                endpoints[0].behaviours.clear()
+            }
+        }
+    }
+
+    test("a stream without length or chunks that ends within an event does not look complete to the caller") {
+        withSite {
+            configure()
+            queueForAll(Behaviour.UNFRAMED_BREAK_MID_EVENT)
+            shouldThrow<IOException> { connect().call("POST", "/events/x", "prompt") }
+        }
+    }
+
     test("an endpoint that sends a head or a body without end is cut off, and the call runs at another endpoint") {
         withSite {
             configure()
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -21,6 +21,12 @@
     FAIL,
     EXTRA_RESPONSE,
     BREAK_MID_EVENT,
+
+    /** Responds with neither a length nor chunks, and ends the connection after the response. */
+    UNFRAMED,
+
+    /** As [UNFRAMED], but ends the connection within an event. */
+    UNFRAMED_BREAK_MID_EVENT,
     HANG,
     UNSEALED,
     ENDLESS_HEAD,
@@ -67,8 +73,14 @@
     }
 
     private suspend fun serve(call: FakeServerCall, behaviour: Behaviour) {
-        if (!call.head.path.startsWith("/stream/")) {
-            call.respond(200, "$id:${call.body.decodeToString()}".encodeToByteArray(), ownHeaders(call))
+        val isUnframed = behaviour == Behaviour.UNFRAMED || behaviour == Behaviour.UNFRAMED_BREAK_MID_EVENT
+        if (streamPaths.none { call.head.path.startsWith(it) }) {
+            val body = "$id:${call.body.decodeToString()}".encodeToByteArray()
+            if (isUnframed) {
+                call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call)), body)
+                return call.closeConnection()
+            }
+            call.respond(200, body, ownHeaders(call))
             if (behaviour == Behaviour.EXTRA_RESPONSE) {
                 delay(EXTRA_DELAY_MS)
                 call.respond(200, "extra".encodeToByteArray(), ownHeaders(call))
@@ -80,15 +92,16 @@
             return crash()
         }
         val firstEvent = (call.header("Last-Event-Id")?.toInt() ?: 0) + 1
-        call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + Header("Transfer-Encoding", "chunked")))
+        val framing = if (isUnframed) emptyList() else listOf(Header("Transfer-Encoding", "chunked"))
+        call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + framing))
+        val breaksOff = behaviour == Behaviour.BREAK_MID_EVENT || behaviour == Behaviour.UNFRAMED_BREAK_MID_EVENT
         for (number in firstEvent..EVENTS) {
-            if (behaviour == Behaviour.BREAK_MID_EVENT && number == BREAK_AT_EVENT) {
-                call.sink.writeAll(encodeChunk("id: $number\nda".encodeToByteArray()))
-                return call.closeConnection()
-            }
-            call.sink.writeAll(encodeChunk("id: $number\ndata: $number\n\n".encodeToByteArray()))
+            val isCut = breaksOff && number == BREAK_AT_EVENT
+            val bytes = (if (isCut) "id: $number\nda" else "id: $number\ndata: $number\n\n").encodeToByteArray()
+            call.sink.writeAll(if (isUnframed) bytes else encodeChunk(bytes))
+            if (isCut) return call.closeConnection()
         }
-        call.sink.writeLastChunk()
+        if (isUnframed) call.closeConnection() else call.sink.writeLastChunk()
     }
 
     /** Writes until the connection closes. */
@@ -105,6 +118,7 @@
     companion object {
         const val EVENTS = 6
         const val DEADLY_PART = "dead"
+        private val streamPaths = listOf("/stream/", "/events/")
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
         private const val LARGE_RESPONSE_BYTES = 200_000
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -156,12 +156,12 @@
         """{"version":$version,"routes":[${route(
             "safe",
             "safe",
-        )},${route("once", "unsafe")},${route("stream", "streaming")}],
+        )},${route("once", "unsafe")},${route("stream", "streaming")},${route("events", "streaming", false)}],
         "services":[{"name":"s1","maxConns":100}],"tenants":[{"name":"red","apiKeys":[$keys]}]}"""
 
-    private fun route(name: String, kind: String) =
+    private fun route(name: String, kind: String, resumable: Boolean = kind == "streaming") =
         """{"name":"$name","host":"site.example","pathPrefix":"/$name/","routeType":"$kind","timeoutMs":3000,
-        "targetLatencyMs":200,"priority":1,"service":"s1","maxAttempts":2,"resumable":${kind == "streaming"}}"""
+        "targetLatencyMs":200,"priority":1,"service":"s1","maxAttempts":2,"resumable":$resumable}"""
 
     suspend fun connect() = connect(callerPort)
 
