Split the buckets that VMs share off TeamRateLimiter

SharedBuckets holds it; the limiter of teams keeps its decisions. TeamUsage is BucketUse now. No change of behaviour: TeamRateLimiterTest passes, with the type renamed only.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -42,8 +42,8 @@
 import io.daisybend.serving.quarantine.PromptEvidence
 import io.daisybend.serving.quarantine.PromptQuarantine
 import io.daisybend.serving.quarantine.Quarantine
+import io.daisybend.serving.rates.BucketUse
 import io.daisybend.serving.rates.TeamRateLimiter
-import io.daisybend.serving.rates.TeamUsage
 import io.daisybend.serving.site.ClockPair
 import io.daisybend.serving.site.FreshnessSettings
 import io.daisybend.serving.site.RouteTable
@@ -368,7 +368,7 @@
             report.startedAtMs,
             report.teams.associate {
                 it.team to
-                    TeamUsage(it.admitted, it.level)
+                    BucketUse(it.admitted, it.level)
             },
             isPeerOlder,
             now,
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
@@ -5,9 +5,6 @@
 
 import io.daisybend.serving.site.Team
 
-/** The use of a team on one VM: the cost [admitted] since its start less refunds, and the [level] of its bucket. */
-public data class TeamUsage(val admitted: Double, val level: Double)
-
 /** The contact of a VM with its peers. */
 public data class FleetContact(
     /** Number of VMs, including this one. */
@@ -35,101 +32,57 @@
  */
 public class TeamRateLimiter(private val requestEarlyReport: () -> Unit = {}) {
     private val lock = Any()
-    private val buckets = HashMap<String, SharedTokenBucket>()
     private val teams = HashMap<String, Team>()
-    private val usesByPeer = HashMap<String, HashMap<String, Double>>()
-    private var contact = FleetContact()
-    private val teamsWithAdoptedLevel = HashSet<String>()
-    private val reportedByTeam = HashMap<String, ReportedUse>()
+    private val buckets = SharedBuckets<String>(countsFirstUse = false)
 
     /** Applies the teams of a new configuration. */
     public fun configure(configured: List<Team>, nowMs: Long): Unit = synchronized(lock) {
         teams.clear()
         configured.forEach { team ->
             teams[team.name] = team
-            buckets[team.name]?.updateLimit(team.ratePerSecond, team.burst, nowMs)
-                ?: buckets.put(team.name, SharedTokenBucket(team.ratePerSecond, team.burst, nowMs))
+            buckets.setLimit(team.name, team.ratePerSecond, team.burst, nowMs)
         }
-        buckets.keys.retainAll(teams.keys)
-        usesByPeer.values.forEach { it.keys.retainAll(teams.keys) }
+        buckets.retain(teams.keys)
     }
 
     /** Decides whether [team] may send a request with [tokens]; null when the request states no number of tokens. */
     public fun admit(team: Team, tokens: Long?, nowMs: Long): RateDecision = synchronized(lock) {
         val cost = if (team.countsTokens) (tokens ?: team.plainTokens).toDouble() else 1.0
-        val bucket = buckets[team.name]
+        val bucket = buckets.find(team.name, nowMs)
         if (team.ratePerSecond <= 0.0 || bucket == null) return RateDecision.Admitted(0.0)
-        bucket.refill(nowMs, contact.unreachableShare)
         if (!bucket.admit(cost)) return RateDecision.OverRate(bucket.retryAfterMs())
         if (mustReportEarly(team, bucket)) requestEarlyReport()
         RateDecision.Admitted(cost)
     }
 
     private fun mustReportEarly(team: Team, bucket: SharedTokenBucket): Boolean {
-        val unreported = bucket.netAdmitted - (reportedByTeam[team.name]?.admitted ?: 0.0)
+        val contact = buckets.contact
         // With all peers in contact and much of the burst left, the use until the next reports can't exhaust it.
         val isNearLimit = contact.unreachableShare > 0.0 || bucket.level < team.burst * EARLY_REPORT_LEVEL_SHARE
-        return isNearLimit && unreported > team.burst / (UNREPORTED_BURST_PARTS * contact.vmCount)
+        return isNearLimit && buckets.unreported(team.name) > team.burst / (UNREPORTED_BURST_PARTS * contact.vmCount)
     }
 
     /** Refunds the [cost] of a request of [team] that did not run. */
-    public fun refund(team: String, cost: Double): Unit = synchronized(lock) { buckets[team]?.refund(cost) }
+    public fun refund(team: String, cost: Double): Unit = synchronized(lock) { buckets.refund(team, cost) }
 
     /** Applies the [uses] that [peer], started at [peerStartedAtMs], reports. */
     public fun onPeerUsage(
         peer: String,
         peerStartedAtMs: Long,
-        uses: Map<String, TeamUsage>,
+        uses: Map<String, BucketUse>,
         isPeerOlder: Boolean,
         nowMs: Long,
-    ): Unit =
-        synchronized(lock) {
-            val known = usesByPeer.getOrPut("$peer/$peerStartedAtMs") { HashMap() }
-            uses.forEach { (team, use) ->
-                val bucket = buckets[team] ?: return@forEach
-                bucket.refill(nowMs, contact.unreachableShare)
-                // The first report of a team contains uses from before this VM heard of the peer.
-                val delta = known.put(team, use.admitted)?.let { use.admitted - it } ?: 0.0
-                bucket.deductPeerUse(delta)
-                if (isPeerOlder && teamsWithAdoptedLevel.add(team)) bucket.adoptLevel(use.level)
-            }
-        }
+    ): Unit = synchronized(lock) { buckets.onPeerUse(peer, peerStartedAtMs, uses, isPeerOlder, nowMs) }
 
     /** Applies the [contact] of this VM with its peers from [nowMs] on. */
-    public fun setContact(contact: FleetContact, nowMs: Long): Unit = synchronized(lock) {
-        val newlyLostShare = (contact.lostShare - this.contact.lostShare).coerceAtLeast(0.0)
-        buckets.values.forEach {
-            it.refill(nowMs, this.contact.unreachableShare)
-            it.withdrawRefill(newlyLostShare, contact.detectionMs)
-        }
-        this.contact = contact
-    }
+    public fun setContact(contact: FleetContact, nowMs: Long): Unit =
+        synchronized(lock) { buckets.setContact(contact, nowMs) }
 
     /** Returns the use of all teams on this VM, for a peer that may know none of it. */
-    public fun usage(): Map<String, TeamUsage> = synchronized(lock) { buckets.mapValues { it.value.toUsage() } }
-
-    /**
-     * Returns the use of the teams on this VM that changed since the last reports, for all peers, and marks it as
-     * reported. Each change is returned in several successive reports, since some may be lost.
-     */
-    public fun reportChanges(): Map<String, TeamUsage> = synchronized(lock) {
-        reportedByTeam.keys.retainAll(buckets.keys)
-        val changed = buckets.filter { (team, bucket) ->
-            val reported = reportedByTeam.getOrPut(team) { ReportedUse(bucket.netAdmitted) }
-            if (reported.admitted != bucket.netAdmitted) {
-                reported.admitted = bucket.netAdmitted
-                reported.reportsLeft = REPORTS_OF_A_CHANGE
-            }
-            (reported.reportsLeft > 0).also { isDue -> if (isDue) reported.reportsLeft-- }
-        }
-        changed.mapValues { it.value.toUsage() }
-    }
+    public fun usage(): Map<String, BucketUse> = synchronized(lock) { buckets.uses() }
 
-    private fun SharedTokenBucket.toUsage() = TeamUsage(netAdmitted, level)
-
-    private class ReportedUse(var admitted: Double) {
-        var reportsLeft = REPORTS_OF_A_CHANGE
-    }
+    /** Returns the use of the teams on this VM that changed since the last reports, for all peers. */
+    public fun reportChanges(): Map<String, BucketUse> = synchronized(lock) { buckets.reportChanges() }
 
     private companion object {
         /** Unreported use above one part in this many of the VM's share of the burst is reported at once. */
@@ -137,8 +90,5 @@
 
         /** Share of the burst below which use is reported at once. */
         const val EARLY_REPORT_LEVEL_SHARE = 0.75
-
-        /** Number of successive reports that contain a change. */
-        const val REPORTS_OF_A_CHANGE = 3
     }
 }
--- a/serving/src/test/kotlin/io/daisybend/serving/rates/TeamRateLimiterTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/rates/TeamRateLimiterTest.kt
@@ -157,10 +157,10 @@
         val limits = TeamRateLimiter()
         val red = team("red", "k", rate = 1_000.0, burst = 4_000.0)
         limits.configure(listOf(red), 0)
-        limits.onPeerUsage("vm-2", 1, mapOf("blue" to TeamUsage(9_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
-        limits.onPeerUsage("vm-2", 1, mapOf("red" to TeamUsage(9_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
+        limits.onPeerUsage("vm-2", 1, mapOf("blue" to BucketUse(9_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
+        limits.onPeerUsage("vm-2", 1, mapOf("red" to BucketUse(9_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
         (limits.admit(red, 10, 0) is RateDecision.Admitted) shouldBe true
-        limits.onPeerUsage("vm-2", 1, mapOf("red" to TeamUsage(12_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
+        limits.onPeerUsage("vm-2", 1, mapOf("red" to BucketUse(12_000.0, 0.0)), isPeerOlder = false, nowMs = 0)
         (limits.admit(red, 10, 0) is RateDecision.Admitted) shouldBe false
     }
 
