--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -138,15 +138,19 @@
             }
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
         }
-        if (tracked.progress.isInsideEvent) throw ConnectionBrokenException(EOFException("the stream ends in an event"))
-        // Without a length or chunks, an engine that ends before its first event looks like the end of the stream.
-        if (response.head.framing == BodyFraming.UntilClose && tracked.progress.eventCount == 0) {
-            throw ConnectionBrokenException(EOFException("the stream ends before its first event"))
-        }
+        problemAtEnd(response, tracked)?.let { throw ConnectionBrokenException(EOFException(it)) }
         eventBuffer?.takeRemainder()?.let { connection.writeChunk(it) }
         return ""
     }
 
+    private fun problemAtEnd(response: SendStart.HeadReceived, tracked: TrackedExchange): String? = when {
+        tracked.progress.isInsideEvent -> "the stream ends inside an event"
+        // Without a length or chunks, an engine that ends before its first event looks like the end of the stream.
+        response.head.framing == BodyFraming.UntilClose && tracked.progress.eventCount == 0 ->
+            "the stream ends before its first event"
+        else -> null
+    }
+
     private suspend fun readNextPiece(response: SendStart.HeadReceived): ByteArray? {
         if (!admitted.route.resumable) return response.exchange.body.readPiece()
         var piece: ByteArray? = null
