Read and log the limit of requests that an endpoint names

The header was not read, so no log line told which endpoint had named a limit when it got too many requests. No decision uses the limit yet.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -232,6 +232,9 @@
         tracked: TrackedExchange,
     ): SendResult {
         val status = response.head.status
+        response.headers.requestLimit?.let { limit ->
+            log.write("endpoint-limit", "endpoint" to endpoint.incarnation.id, "limit" to limit.toString())
+        }
         if (response.headers.didNotRun) return onRejection(endpoint, response)
         mayHaveRun = true
         if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
