Hold all VMs together to the limits that endpoints name

Cause: the header was not read; an engine in need got the share of an engine with its usual capacity. Class: no admission control by the capacity that a server reports. Ruled out: retries to the same engine (22 rejections among 456 arrivals, and a send that was rejected goes to another engine).

Change: EndpointRateLimiter, on the shared buckets that team rates use. Every VM knows each limit and the requests of all VMs from the reports. A VM sends when the bucket has more than a level that it draws anew after each request, so VMs that wait do not all take the same token. Every send counts; only one that found no connection is given back. Requests go to other endpoints, wait while they can be served in time, or are refused at once with the time to come back. A limit ends with a newer response without one, with the incarnation, or after 30 s; a limit of almost nothing is tried every 4 s.

The end-to-end test fails without the limiter.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -24,6 +24,8 @@
 import io.daisybend.entry.peers.toEvidence
 import io.daisybend.entry.peers.toHoldings
 import io.daisybend.entry.peers.toReport
+import io.daisybend.entry.peers.toReports
+import io.daisybend.entry.peers.toUses
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
 import io.daisybend.entry.store.QuarantineKeeper
@@ -43,6 +45,8 @@
 import io.daisybend.serving.quarantine.PromptQuarantine
 import io.daisybend.serving.quarantine.Quarantine
 import io.daisybend.serving.rates.BucketUse
+import io.daisybend.serving.rates.EndpointLimitChange
+import io.daisybend.serving.rates.EndpointRateLimiter
 import io.daisybend.serving.rates.TeamRateLimiter
 import io.daisybend.serving.site.ClockPair
 import io.daisybend.serving.site.FreshnessSettings
@@ -90,6 +94,8 @@
         requestEarlyReport = ::reportSoon,
         onChange = ::onQuarantinesChanged,
     )
+    private val endpointRateLimiter =
+        EndpointRateLimiter(requestEarlyReport = ::reportSoon, onChange = ::onEndpointLimitChanged)
     private val quarantineLog = QuarantineLog(log, metrics, ::steadyMs)
     private val quarantineKeeper =
         QuarantineKeeper(store, quarantine, clocks, log) { peers.contact(steadyMs()).unreachableShare > 0.0 }
@@ -102,6 +108,7 @@
         RetryBudgetSettings(bounds.budgetWindowMs, bounds.budgetRatio, bounds.budgetExtra),
         load,
         quarantine,
+        endpointRateLimiter,
         ::steadyMs,
     )
     private val requestHandler = RequestHandler(
@@ -219,6 +226,9 @@
         metrics.addGauge("daisybend_body_bytes", "Memory that bodies of requests take, in bytes") {
             bodyMemory.bytesInUse.toDouble()
         }
+        metrics.addGauges("daisybend_endpoint_limit", "Limits that endpoints name, in requests a second", "endpoint") {
+            endpointRateLimiter.current.mapKeys { it.key.id }
+        }
         metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.requestsInProgress.toDouble()
         }
@@ -261,7 +271,10 @@
             connectionPool.closeExpired()
             peers.removeExpired(now)
             loadForecast.removeOverdue(now)
-            teamRateLimiter.setContact(peers.contact(now), now)
+            val contact = peers.contact(now)
+            teamRateLimiter.setContact(contact, now)
+            endpointRateLimiter.setContact(contact, now)
+            endpointRateLimiter.removeExpired(now)
             quarantine.removeExpired(now)
         }
     }
@@ -271,6 +284,16 @@
         endpointPool.onEndpointsChanged()
     }
 
+    private fun onEndpointLimitChanged(change: EndpointLimitChange) {
+        log.write(
+            "endpoint-limit-changed",
+            "endpoint" to change.endpoint.id,
+            "bornMs" to change.endpoint.bornMs,
+            "perSecond" to (change.perSecond ?: "none"),
+        )
+        endpointPool.onEndpointsChanged()
+    }
+
     private fun onQuarantinesChanged(quarantines: List<Quarantine>) {
         quarantineLog.onChange(quarantines)
         quarantineKeeper.keepSoon()
@@ -339,6 +362,11 @@
                 ReportPurpose.COMPLETE -> quarantine.evidence(now.steadyMs)
                 ReportPurpose.DEMAND -> PromptEvidence()
             }.toReport(),
+            limits = when (purpose) {
+                ReportPurpose.BROADCAST -> endpointRateLimiter.reportChanges(now.steadyMs)
+                ReportPurpose.COMPLETE -> endpointRateLimiter.uses(now.steadyMs)
+                ReportPurpose.DEMAND -> emptyMap()
+            }.toReports(),
         )
     }
 
@@ -374,6 +402,7 @@
             now,
         )
         quarantine.onEvidence(report.prompts.toEvidence(), now)
+        endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
         if (report.holdings.isNotEmpty()) {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -18,6 +18,7 @@
 import io.daisybend.serving.endpoint.ModelDemand
 import io.daisybend.serving.quarantine.PromptQuarantine
 import io.daisybend.serving.quarantine.QuarantineVerdict
+import io.daisybend.serving.rates.EndpointRateLimiter
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
@@ -62,6 +63,7 @@
     private val budgetSettings: RetryBudgetSettings,
     private val load: LoadMonitor,
     private val quarantine: PromptQuarantine,
+    private val rateLimiter: EndpointRateLimiter,
     private val steadyMs: () -> Long,
 ) {
     private val changes = MutableStateFlow(0L)
@@ -72,6 +74,9 @@
     /** Requests of this VM in progress at endpoints. */
     val exchanges = ExchangeTracker(table, promptCache, steadyMs)
 
+    /** Outcomes of sends. */
+    val outcomes = EndpointOutcomes(table, quarantine, rateLimiter, steadyMs)
+
     /** Demand of this VM for models. */
     val demand = ModelDemandTracker(steadyMs)
 
@@ -91,44 +96,79 @@
 
     private fun budget(service: String) = budgets.computeIfAbsent(service) { RetryBudget(budgetSettings) }
 
+    private sealed interface Step {
+        class Finish(val selection: EndpointSelection) : Step
+
+        class Wait(val waitMs: Long) : Step
+    }
+
     /**
-     * Selects an endpoint for [admitted] outside [exclude]; waits for its model while the request can still be served
-     * in time.
+     * Selects an endpoint for [admitted] outside [exclude]; waits for its model, or for the rate of the endpoints,
+     * while the request can still be served in time.
      */
     suspend fun select(admitted: AdmittedRequest, exclude: Set<String>): EndpointSelection {
-        selectNow(admitted, exclude)?.let { return it }
-        val modelDemand = admitted.caller.demand ?: return noEndpoint(admitted)
-        val waiting = demand.startWaiting(admitted.service.name, modelDemand, admitted.priority)
+        val waitStartedAtMs = steadyMs()
+        val first = nextStep(admitted, exclude, waitStartedAtMs, queue = demand.waitingCount(admitted))
+        if (first is Step.Finish) return first.selection
+        val waiting = demand.startWaiting(admitted)
         fleet.onDemandChanged()
         try {
-            return awaitModel(admitted, modelDemand, exclude, waiting.sinceMs)
+            return awaitEndpoint(admitted, exclude, waitStartedAtMs)
         } finally {
             demand.endWaiting(waiting)
         }
     }
 
-    private suspend fun awaitModel(
+    private suspend fun awaitEndpoint(
         admitted: AdmittedRequest,
-        demand: ModelDemand,
         exclude: Set<String>,
         waitStartedAtMs: Long,
     ): EndpointSelection {
         while (true) {
             val seen = changes.value
-            selectNow(admitted, exclude)?.let { return it }
-            val waitMs = remainingWaitMs(admitted, demand.model, waitStartedAtMs)
-            if (waitMs <= 0) return modelNotHeld(demand.model)
-            withTimeoutOrNull(waitMs.coerceAtMost(RECHECK_INTERVAL_MS)) { changes.first { it != seen } }
+            when (val step = nextStep(admitted, exclude, waitStartedAtMs, queue = 0)) {
+                is Step.Finish -> return step.selection
+                is Step.Wait -> withTimeoutOrNull(step.waitMs.coerceIn(1, RECHECK_INTERVAL_MS)) {
+                    changes.first { it != seen }
+                }
+            }
         }
     }
 
-    /** Returns the selection that is possible now, or null if the request may wait for its model. */
-    private fun selectNow(admitted: AdmittedRequest, exclude: Set<String>): EndpointSelection? =
-        refusalByQuarantine(admitted) ?: when (val choice = choose(admitted, exclude)) {
-            is EndpointChoice.Send -> EndpointSelection.Selected(choice.endpoint)
-            EndpointChoice.NoEndpoint -> noEndpoint(admitted)
-            EndpointChoice.NotHeld -> null
+    /**
+     * Returns the selection that is possible now, or how long the request may wait for another one behind [queue] other
+     * requests.
+     */
+    private fun nextStep(
+        admitted: AdmittedRequest,
+        exclude: Set<String>,
+        waitStartedAtMs: Long,
+        queue: Int,
+    ): Step {
+        refusalByQuarantine(admitted)?.let { return Step.Finish(it) }
+        return when (val choice = choose(admitted, exclude)) {
+            is EndpointChoice.Send -> {
+                // Another request may have taken the rate since the choice.
+                val isAdmitted = rateLimiter.admit(choice.endpoint.incarnation, steadyMs())
+                if (isAdmitted) Step.Finish(EndpointSelection.Selected(choice.endpoint)) else Step.Wait(1)
+            }
+            is EndpointChoice.Limited -> awaitRate(admitted, choice.waitMs * (1 + queue))
+            EndpointChoice.NoEndpoint -> Step.Finish(noEndpoint(admitted))
+            EndpointChoice.NotHeld -> awaitModel(admitted, waitStartedAtMs)
         }
+    }
+
+    private fun awaitModel(admitted: AdmittedRequest, waitStartedAtMs: Long): Step {
+        val model = admitted.caller.demand?.model ?: return Step.Finish(noEndpoint(admitted))
+        val waitMs = remainingWaitMs(admitted, model, waitStartedAtMs)
+        return if (waitMs <= 0) Step.Finish(modelNotHeld(model)) else Step.Wait(waitMs)
+    }
+
+    private fun awaitRate(admitted: AdmittedRequest, waitMs: Long): Step {
+        if (waitMs < latestSendAtMs(admitted) - steadyMs()) return Step.Wait(waitMs)
+        val reason = "endpoints of ${admitted.service.name} are at their limits for another $waitMs ms"
+        return Step.Finish(EndpointSelection.Unavailable(reason, waitMs))
+    }
 
     private fun refusalByQuarantine(admitted: AdmittedRequest): EndpointSelection.Unavailable? {
         val now = steadyMs()
@@ -170,6 +210,14 @@
                 (model == null || !table.hasRefusedModel(it, model, now))
         }
         if (endpoints.isEmpty() && all.isNotEmpty() && model != null) return EndpointChoice.NotHeld
+        val (limited, free) = endpoints.partition { rateLimiter.waitMs(it.incarnation, now) > 0 }
+        val choice = chooseAmong(free, admitted, now)
+        if (choice is EndpointChoice.Send || limited.isEmpty()) return choice
+        val best = chooseAmong(limited, admitted, now) as? EndpointChoice.Send ?: return choice
+        return EndpointChoice.Limited(rateLimiter.waitMs(best.endpoint.incarnation, now))
+    }
+
+    private fun chooseAmong(endpoints: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
         val peerUses by lazy(LazyThreadSafetyMode.NONE) { fleet.peerUses() }
         val load = { endpoint: Endpoint -> loadOf(endpoint, peerUses) }
         val demand = admitted.caller.demand
@@ -210,36 +258,16 @@
      */
     private fun remainingWaitMs(admitted: AdmittedRequest, model: String, waitStartedAtMs: Long): Long {
         val now = steadyMs()
-        val maxWaitMs = (admitted.firstEventDeadlineAtMs - admitted.arrivedAtMs) * LOAD_WAIT_PERCENT / PERCENT
-        val remainingMs = minOf(admitted.deadlineAtMs - MIN_SERVICE_TIME_MS, admitted.arrivedAtMs + maxWaitMs) - now
+        val remainingMs = latestSendAtMs(admitted) - now
         val expectedMs = fleet.loadedInMs(model)
         if (expectedMs != null) return if (expectedMs < remainingMs) remainingMs else 0
         return if (fleet.isDutyHeld()) remainingMs else minOf(remainingMs, waitStartedAtMs + NO_HOLDER_WAIT_MS - now)
     }
 
-    /** Records that the answer to [admitted] went on past its beginning. */
-    fun recordProvenAnswer(admitted: AdmittedRequest) = quarantine.onAnswerProven(admitted.sharedPartIds, steadyMs())
-
-    /** Records that the endpoint of [exchange] completed the answer. */
-    fun recordCompleteAnswer(admitted: AdmittedRequest, exchange: TrackedExchange) {
-        recordProvenAnswer(admitted)
-        quarantine.onAnswerCompleted(exchange.endpoint.incarnation, exchange.startedAtMs, steadyMs())
-    }
-
-    /** Records a successful response of [endpoint]. */
-    fun recordSuccess(endpoint: Endpoint) = table.onSuccess(endpoint)
-
-    /** Records a failure of [endpoint]. */
-    fun recordFailure(endpoint: Endpoint) {
-        table.onFailure(endpoint, steadyMs())
-    }
-
-    /** Records that [endpoint] is unreachable. */
-    fun recordUnreachable(endpoint: Endpoint) = table.onUnreachable(endpoint, steadyMs())
-
-    /** Records that [endpoint] refused the model of [admitted]. */
-    fun recordRejection(endpoint: Endpoint, admitted: AdmittedRequest) {
-        admitted.caller.demand?.let { table.onModelRefused(endpoint, modelKey(it.model, it.adapter), steadyMs()) }
+    /** Returns the time after which [admitted] can't be served any more, in milliseconds of the monotonic clock. */
+    private fun latestSendAtMs(admitted: AdmittedRequest): Long {
+        val maxWaitMs = (admitted.firstEventDeadlineAtMs - admitted.arrivedAtMs) * LOAD_WAIT_PERCENT / PERCENT
+        return minOf(admitted.deadlineAtMs - MIN_SERVICE_TIME_MS, admitted.arrivedAtMs + maxWaitMs)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ModelDemandTracker.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ModelDemandTracker.kt
@@ -1,6 +1,6 @@
 /*
- * Demand of this VM for models: the requests that wait for a model, and how many requests there were for each model and
- * adapter. The holder of the order duty plans with it.
+ * Demand of this VM for models: the requests that wait for a model or an endpoint, and how many requests there were for
+ * each model and adapter. The holder of the order duty plans with it.
  */
 package io.daisybend.entry.exchange
 
@@ -9,8 +9,8 @@
 import io.daisybend.serving.endpoint.ModelDemand
 import java.util.concurrent.ConcurrentHashMap
 
-/** Requests with the same key wait for the same model with the same urgency. */
-internal data class DemandKey(val service: String, val model: String, val urgency: Int)
+/** Requests with the same key wait for the same model, or for any endpoint, with the same urgency. */
+internal data class DemandKey(val service: String, val model: String?, val urgency: Int)
 
 /** A request that waits since [sinceMs], in milliseconds of the monotonic clock. */
 internal class WaitingRequest(val key: DemandKey, val sinceMs: Long)
@@ -33,25 +33,35 @@
         requestCounts.compute(modelKey) { _, known -> RequestCount((known?.count ?: 0) + 1, now) }
     }
 
-    /** Records that a request of [service] begins to wait for the model and adapter of [demand]. */
-    fun startWaiting(service: String, demand: ModelDemand, urgency: Int): WaitingRequest {
-        val key = DemandKey(service, modelKey(demand.model, demand.adapter), urgency)
+    /** Records that [admitted] begins to wait for an endpoint. */
+    fun startWaiting(admitted: AdmittedRequest): WaitingRequest {
+        val key = keyOf(admitted)
         val request = WaitingRequest(key, steadyMs())
         waitingRequests.computeIfAbsent(key) { ConcurrentHashMap() }[request] = Unit
         return request
     }
 
+    /** Returns the number of requests that wait for the same as [admitted]. */
+    fun waitingCount(admitted: AdmittedRequest): Int = waitingRequests[keyOf(admitted)]?.size ?: 0
+
+    private fun keyOf(admitted: AdmittedRequest) = DemandKey(
+        admitted.service.name,
+        admitted.caller.demand?.let { modelKey(it.model, it.adapter) },
+        admitted.priority,
+    )
+
     /** Records that [request] waits no longer. */
     fun endWaiting(request: WaitingRequest) {
         waitingRequests[request.key]?.remove(request)
     }
 
-    /** Returns the waiting requests of this VM, by service, model and priority, for the report to the peers. */
+    /** Returns the requests of this VM that wait for models, by service, model and priority, for the peers. */
     fun queuedDemand(): List<QueuedDemandReport> {
         val now = steadyMs()
         return waitingRequests.mapNotNull { (key, requests) ->
+            val model = key.model ?: return@mapNotNull null
             val longestWaitingSinceMs = requests.keys.minOfOrNull { it.sinceMs } ?: return@mapNotNull null
-            QueuedDemandReport(key.service, key.model, requests.size, key.urgency, now - longestWaitingSinceMs)
+            QueuedDemandReport(key.service, model, requests.size, key.urgency, now - longestWaitingSinceMs)
         }
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -7,6 +7,7 @@
 
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.platform.RequestLimit
 import io.daisybend.platform.SendHeaders
 import io.daisybend.platform.attemptIdHeader
 import io.daisybend.platform.isOtherInstance
@@ -163,12 +164,13 @@
             if (startResult is SendStart.HeadReceived) exchange = startResult.exchange
             return when (startResult) {
                 is SendStart.NotSent -> {
-                    endpointPool.recordUnreachable(endpoint)
+                    endpointPool.outcomes.recordUnreachable(endpoint)
+                    endpointPool.outcomes.recordUnsent(endpoint)
                     SendResult(SendOutcome.NotSent, startResult.reason)
                 }
                 is SendStart.NoResponse -> {
                     mayHaveRun = true
-                    if (remainingMs > 0 && !startResult.withdrawn) endpointPool.recordFailure(endpoint)
+                    if (remainingMs > 0 && !startResult.withdrawn) endpointPool.outcomes.recordFailure(endpoint)
                     SendResult(
                         SendOutcome.Unknown,
                         startResult.reason,
@@ -232,18 +234,16 @@
         tracked: TrackedExchange,
     ): SendResult {
         val status = response.head.status
-        response.headers.requestLimit?.let { limit ->
-            log.write("endpoint-limit", "endpoint" to endpoint.incarnation.id, "limit" to limit.toString())
-        }
+        recordLimit(endpoint, response)
         if (response.headers.didNotRun) return onRejection(endpoint, response)
         mayHaveRun = true
         if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
         if (!response.headers.sealed) {
             response.exchange.abort()
-            endpointPool.recordFailure(endpoint)
+            endpointPool.outcomes.recordFailure(endpoint)
             return SendResult(SendOutcome.Unknown, "status $status without a seal")
         }
-        endpointPool.recordSuccess(endpoint)
+        endpointPool.outcomes.recordSuccess(endpoint)
         return if (admitted.route.kind == RouteKind.STREAM) {
             relay.relayStream(endpoint, response, tracked)
         } else {
@@ -251,13 +251,27 @@
         }
     }
 
+    private fun recordLimit(endpoint: Endpoint, response: SendStart.HeadReceived) {
+        when (val limit = response.headers.requestLimit) {
+            is RequestLimit.Named -> endpointPool.outcomes.recordLimit(endpoint, limit)
+            // An endpoint that rejects a request need not name its limit.
+            null -> if (!response.headers.didNotRun) endpointPool.outcomes.recordLimit(endpoint, limit = null)
+            is RequestLimit.Unreadable -> log.write(
+                "endpoint-limit-unreadable",
+                "request" to admitted.request.attemptId,
+                "endpoint" to endpoint.incarnation.id,
+                "limit" to limit.value.take(MAX_LOGGED_CHARS),
+            )
+        }
+    }
+
     private fun onRejection(endpoint: Endpoint, response: SendStart.HeadReceived): SendResult {
         val status = response.head.status
         if (!response.exchange.body.isComplete) response.exchange.abort()
         if (isOtherInstance(status) && admitted.caller.demand == null) {
-            endpointPool.recordUnreachable(endpoint)
+            endpointPool.outcomes.recordUnreachable(endpoint)
         } else {
-            endpointPool.recordRejection(endpoint, admitted)
+            endpointPool.outcomes.recordRejection(endpoint, admitted)
         }
         val outcome = SendOutcome.RejectedUnrun(status, response.headers.retryAfterMs)
         return SendResult(outcome, "status $status, not run")
@@ -269,7 +283,7 @@
         tracked: TrackedExchange,
     ): SendResult {
         val status = response.head.status
-        if (status >= FIRST_SERVER_ERROR) endpointPool.recordFailure(endpoint)
+        if (status >= FIRST_SERVER_ERROR) endpointPool.outcomes.recordFailure(endpoint)
         if (connection.headWritten) return SendResult(SendOutcome.Unknown, "status $status for the rest of a stream")
         val outcome = SendOutcome.AnsweredFailure(status)
         val shouldRetry = status >= FIRST_SERVER_ERROR &&
@@ -287,6 +301,7 @@
         const val STATUS_TIMEOUT = 504
         const val FIRST_SERVER_ERROR = 500
         const val LOWEST_PRIORITY = 9
+        const val MAX_LOGGED_CHARS = 40
         val SUCCESS = 200..299
 
         /**
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -64,7 +64,7 @@
             null
         }
         if (body == null) return onBroken(endpoint, response, "an answer that broke off", connectionEnded = false)
-        if (response.head.status in SUCCESS) endpointPool.recordCompleteAnswer(admitted, tracked)
+        if (response.head.status in SUCCESS) endpointPool.outcomes.recordCompleteAnswer(admitted, tracked)
         response.exchange.finish()
         firstPieceMs = steadyMs() - admitted.arrivedAtMs
         connection.writeResponse(
@@ -102,7 +102,7 @@
         }
         if (failureReason.isEmpty()) {
             endpointPool.exchanges.onCompleted(tracked)
-            endpointPool.recordCompleteAnswer(admitted, tracked)
+            endpointPool.outcomes.recordCompleteAnswer(admitted, tracked)
             connection.endResponse()
             return completedResult(response.head.status)
         }
@@ -117,7 +117,7 @@
         connectionEnded: Boolean,
     ): SendResult {
         response.exchange.abort()
-        if (remainingMs > 0) endpointPool.recordFailure(endpoint)
+        if (remainingMs > 0) endpointPool.outcomes.recordFailure(endpoint)
         return SendResult(SendOutcome.Unknown, reason, connectionEnded = connectionEnded)
     }
 
@@ -134,7 +134,7 @@
             endpointPool.exchanges.onFirstEvent(tracked)
             if (!isProven && tracked.progress.eventCount >= PROVEN_EVENTS) {
                 isProven = true
-                endpointPool.recordProvenAnswer(admitted)
+                endpointPool.outcomes.recordProvenAnswer(admitted)
             }
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -13,6 +13,8 @@
 import io.daisybend.serving.quarantine.EngineEnd
 import io.daisybend.serving.quarantine.PromptEvidence
 import io.daisybend.serving.quarantine.SuspectRequest
+import io.daisybend.serving.rates.BucketUse
+import io.daisybend.serving.rates.EndpointLimitUse
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -91,6 +93,17 @@
     val answers: List<EngineAnswerReport> = emptyList(),
 )
 
+/** The limit that an endpoint named, null if it ended, and the requests that the sender sent to it. */
+@Serializable
+internal data class EndpointLimitReport(
+    val endpoint: String,
+    val bornMs: Long,
+    val perSecond: Double?,
+    val observedAgoMs: Long,
+    val admitted: Double,
+    val level: Double,
+)
+
 /** Report of one VM. */
 @Serializable
 internal data class PeerReport(
@@ -120,6 +133,7 @@
     val requests: Map<String, Int>,
     val holdings: List<HoldingsReport>,
     val prompts: PromptEvidenceReport = PromptEvidenceReport(),
+    val limits: List<EndpointLimitReport> = emptyList(),
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -133,6 +147,24 @@
 internal fun HoldingsReport.toHoldings(): EngineHoldings =
     EngineHoldings(orderCount, models.mapValues { (name, adapters) -> HeldModel(name, adapters) })
 
+/** Returns the reports of these uses. */
+internal fun Map<Incarnation, EndpointLimitUse>.toReports(): List<EndpointLimitReport> = map { (endpoint, limit) ->
+    EndpointLimitReport(
+        endpoint.id,
+        endpoint.bornMs,
+        limit.perSecond,
+        limit.observedAgoMs,
+        limit.use.admitted,
+        limit.use.level,
+    )
+}
+
+/** Returns the reported uses by endpoint. */
+internal fun List<EndpointLimitReport>.toUses(): Map<Incarnation, EndpointLimitUse> = associate {
+    Incarnation(it.endpoint, it.bornMs) to
+        EndpointLimitUse(it.perSecond, it.observedAgoMs, BucketUse(it.admitted, it.level))
+}
+
 /** Returns the report of this evidence. */
 internal fun PromptEvidence.toReport() = PromptEvidenceReport(
     ends.map { it.toReport() },
--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -14,6 +14,7 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
@@ -292,4 +293,40 @@
             ran.shouldBeEmpty()
         }
     }
+
+    // Endpoints in need got far more requests than the limit that they had named.
+    test("endpoints that name a limit get no more requests than that, and the others are refused as not run") {
+        withSite {
+            configure()
+            endpoints.forEach { it.namedLimit = "1.5" }
+            repeat(4) { connect().call("GET", "/safe/x").status shouldBe 200 }
+            endpoints.forEach { it.ran.clear() }
+            val calls = (1..60).map {
+                delay(50)
+                scope.async { connect().call("GET", "/safe/x") }
+            }
+            val responses = calls.map { it.await() }
+            // 1.5 a second for at most 6 s, and one request at once.
+            endpoints.forEach { (it.ran.size <= 10) shouldBe true }
+            responses.groupBy { it.status }.keys shouldBe setOf(200, 503)
+            responses.filter { it.status == 503 }.all { refused ->
+                refused.head.headers.any { it.name == "Retry-After" }
+            } shouldBe true
+            readMetrics(metrics()).getValue("daisybend_endpoint_limit{endpoint=\"e-1\"}") shouldBe 1.5
+            endpoints.forEach { it.namedLimit = null }
+            eventually(10.seconds) {
+                (1..8).map { scope.async { connect().call("GET", "/safe/x").status } }.awaitAll().toSet() shouldBe
+                    setOf(200)
+                readMetrics(metrics()).keys.none { it.startsWith("daisybend_endpoint_limit{") } shouldBe true
+            }
+        }
+    }
+
+    test("a limit that is no number changes nothing") {
+        withSite {
+            configure()
+            endpoints.forEach { it.namedLimit = "-1" }
+            repeat(20) { connect().call("GET", "/safe/x").status shouldBe 200 }
+        }
+    }
 })
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -39,6 +39,10 @@
     /** Ends the process of the endpoint; called when it begins to answer a prompt with [DEADLY_PART]. */
     var crash: () -> Unit = {}
 
+    /** The limit of requests that responses name, or null. */
+    @Volatile
+    var namedLimit: String? = null
+
     /** Behaviours for the next requests. */
     val behaviours = ConcurrentLinkedQueue<Behaviour>()
 
@@ -110,9 +114,10 @@
         while (true) call.sink.writeAll(piece)
     }
 
-    private fun ownHeaders(call: FakeServerCall) = listOf(
+    private fun ownHeaders(call: FakeServerCall) = listOfNotNull(
         Header("X-Daisybend-Attempt-Id", call.header("X-Daisybend-Attempt-Id")!!),
         Header("X-Daisybend-Response-Seal", "seal"),
+        namedLimit?.let { Header("Server-Limit", it) },
     )
 
     companion object {
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
@@ -54,6 +54,9 @@
     /** Engines are usable, but none of them holds the model and the adapter. */
     public data object NotHeld : EndpointChoice
 
+    /** The usable endpoints are at the limits that they named; one may get a request after [waitMs] milliseconds. */
+    public data class Limited(val waitMs: Long) : EndpointChoice
+
     /** No endpoint is usable now. */
     public data object NoEndpoint : EndpointChoice
 }
