Relieve engines at their limits of their most requested model

Cause: the planner took a model as served as soon as any engine held it, and the choice of engines preferred limited ones, which had fewer requests.

Change: an engine that gets more requests than its limit does not count as a holder of its most requested model, gets no further models, and its replicas do not make an eviction cheap. That model is loaded where only rarely used models are evicted. Requests go to engines without a limit first. Two requests may be sent at once also at low limits.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -147,6 +147,7 @@
         EngineClient(httpClient),
         table,
         fleet,
+        endpointRateLimiter,
         configuration = { configuration.table },
         ownVm = settings.vm,
         loadWindowMs = bounds.loadWindowMs,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -165,7 +165,9 @@
     }
 
     private fun awaitRate(admitted: AdmittedRequest, waitMs: Long): Step {
-        if (waitMs < latestSendAtMs(admitted) - steadyMs()) return Step.Wait(waitMs)
+        val loadedInMs = admitted.caller.demand?.let { fleet.loadedInMs(it.model) }
+        val expectedMs = minOf(waitMs, loadedInMs ?: Long.MAX_VALUE)
+        if (expectedMs < latestSendAtMs(admitted) - steadyMs()) return Step.Wait(expectedMs)
         val reason = "endpoints of ${admitted.service.name} are at their limits for another $waitMs ms"
         return Step.Finish(EndpointSelection.Unavailable(reason, waitMs))
     }
@@ -211,12 +213,21 @@
         }
         if (endpoints.isEmpty() && all.isNotEmpty() && model != null) return EndpointChoice.NotHeld
         val (limited, free) = endpoints.partition { rateLimiter.waitMs(it.incarnation, now) > 0 }
-        val choice = chooseAmong(free, admitted, now)
+        val choice = chooseWithoutLimit(free, admitted, now) ?: chooseAmong(free, admitted, now)
         if (choice is EndpointChoice.Send || limited.isEmpty()) return choice
         val best = chooseAmong(limited, admitted, now) as? EndpointChoice.Send ?: return choice
         return EndpointChoice.Limited(rateLimiter.waitMs(best.endpoint.incarnation, now))
     }
 
+    /** Returns an engine without a limit that is not overloaded, or null; the others are left to their own models. */
+    private fun chooseWithoutLimit(free: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice? {
+        if (admitted.service.engine == null) return null
+        val unlimited = free.filter { rateLimiter.limitOf(it.incarnation) == null }
+        if (unlimited.size == free.size) return null
+        return (chooseAmong(unlimited, admitted, now) as? EndpointChoice.Send)
+            ?.takeIf { it.predictedFirstEventMs < MAX_UNLIMITED_DELAY_MS }
+    }
+
     private fun chooseAmong(endpoints: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
         val peerUses by lazy(LazyThreadSafetyMode.NONE) { fleet.peerUses() }
         val load = { endpoint: Endpoint -> loadOf(endpoint, peerUses) }
@@ -271,6 +282,9 @@
     }
 
     private companion object {
+        /** Predicted delay on engines without a limit above which engines with one are used too, in milliseconds. */
+        const val MAX_UNLIMITED_DELAY_MS = 800.0
+
         /** Duration of a short request, in milliseconds; with less time left a request cannot be served. */
         const val MIN_SERVICE_TIME_MS = 300L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -21,6 +21,7 @@
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.EngineHoldings
+import io.daisybend.serving.rates.EndpointRateLimiter
 import io.daisybend.serving.residency.EngineOrder
 import io.daisybend.serving.residency.EngineSnapshot
 import io.daisybend.serving.residency.EngineTracker
@@ -76,6 +77,7 @@
     private val engineClient: EngineClient,
     private val table: EndpointTable,
     private val fleet: FleetDemandView,
+    private val rateLimiter: EndpointRateLimiter,
     private val configuration: () -> RouteTable?,
     private val ownVm: String,
     private val loadWindowMs: Long,
@@ -279,6 +281,8 @@
             inFlight = engineUses.sumOf { it.inFlight },
             pendingPromptTokens = engineUses.sumOf { it.pendingPromptTokens },
             kvTokens = engineUses.sumOf { it.kvTokens },
+            limitPerSecond = rateLimiter.limitOf(endpoint.incarnation),
+            isAtLimit = rateLimiter.waitMs(endpoint.incarnation, now) > 0,
         )
     }
 
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/EndpointRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/EndpointRateLimiter.kt
@@ -74,6 +74,9 @@
         else -> observedAtMs > known.observedAtMs
     }
 
+    /** Returns the limit of [endpoint] in requests a second, or null if there is none. */
+    public fun limitOf(endpoint: Incarnation): Double? = synchronized(lock) { limits[endpoint]?.perSecond }
+
     /** Returns the time until [endpoint] may get another request at [nowMs], in milliseconds; 0 if it may now. */
     public fun waitMs(endpoint: Incarnation, nowMs: Long): Long = synchronized(lock) {
         val limit = limits[endpoint] ?: return 0
@@ -141,7 +144,7 @@
     /** A limit of almost nothing is tried now and then, since only a response shows its end. */
     private fun usedRate(perSecond: Double) = perSecond.coerceIn(MIN_PER_SECOND, MAX_PER_SECOND)
 
-    private fun burst(perSecond: Double) = maxOf(1.0, usedRate(perSecond) * BURST_S) + spread(perSecond)
+    private fun burst(perSecond: Double) = maxOf(MIN_BURST, usedRate(perSecond) * BURST_S) + spread(perSecond)
 
     private fun drawNeededLevel(perSecond: Double) = random.nextDouble() * spread(perSecond)
 
@@ -168,6 +171,7 @@
 
         /** Requests that may be sent at once, as the time in which the endpoint takes them, in seconds. */
         const val BURST_S = 0.5
+        const val MIN_BURST = 2.0
 
         /** Reports of a fleet take longer the more VMs there are, and more VMs wait for the same token. */
         const val SPREAD_PER_PAIR_MS = 0.4
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -2,7 +2,8 @@
  * Plans the orders to engines. First come loads of models and adapters that requests wait for, by urgency and then by
  * waiting time. Second come further replicas of models whose engines are all overloaded. Third, while no requests wait,
  * come models without a copy on any engine's disk, so that the first request for them finds a copy. Models are evicted
- * by least cost: models with runs, recently used models and models without another replica cost more.
+ * by least cost: models with runs, recently used models and models without another replica cost more. An engine that
+ * gets more requests than the limit that it named is relieved of its most requested model, and it gets no further ones.
  */
 package io.daisybend.serving.residency
 
@@ -36,6 +37,10 @@
     public val pendingPromptTokens: Long,
     /** KV cache that requests in flight may occupy, over all VMs, in tokens. */
     public val kvTokens: Long,
+    /** Requests a second that the engine takes, or null if it named no limit. */
+    public val limitPerSecond: Double? = null,
+    /** Whether the engine has got as many requests as its limit allows. */
+    public val isAtLimit: Boolean = false,
 )
 
 /** A planned order for one engine. */
@@ -96,6 +101,8 @@
     val pendingLoadMs: Double = 1_000.0,
     /** Cost counted for each request in flight on the loading engine, in milliseconds. */
     val runInterferenceMs: Double = 6.0,
+    /** Cost of a model that gets as many requests as the limit of its engine allows, in milliseconds. */
+    val limitCostMs: Double = 4_000.0,
     /** Concurrent loads from the store that run at full speed; more of them slow each other down. */
     val maxFullSpeedStoreLoads: Int = 4,
 )
@@ -136,13 +143,14 @@
         private val plannedDelaysMs = HashMap<EngineSnapshot, Double>()
         private val plannedModels = HashSet<String>()
         private val loadsByEngine = HashMap<EngineSnapshot, String>()
+        private val strained = HashMap<EngineSnapshot, Boolean>()
         private val queuedModels = queued.mapTo(HashSet()) { it.model }
 
         /** Continues the pending loads of engines that accept orders again. */
         fun resumePendingLoads() {
             engines.forEach { engine ->
                 val model = engine.tracker.pendingModel?.let { spec.models[it] } ?: return@forEach
-                val isHeldElsewhere = engines.any { it !== engine && it.tracker.willHold(model.name) }
+                val isHeldElsewhere = engines.any { it !== engine && serves(it, model.name) }
                 if (isHeldElsewhere && model.name in queuedModels) {
                     engine.tracker.pendingLoad = null
                 } else if (engine.tracker.acceptsOrders(nowMs)) {
@@ -153,12 +161,16 @@
 
         fun planModel(model: String) {
             val spec = spec.models[model] ?: return
-            if (model in plannedModels || engines.any { it.tracker.willHold(model) }) return
-            loadOnBestEngine(spec, "requests wait for the model")
+            if (model in plannedModels || engines.any { serves(it, model) }) return
+            if (engines.any { it.tracker.willHold(model) }) {
+                loadOnBestEngine(spec, "its engines are at their limits", onlyCheapVictims = true)
+            } else {
+                loadOnBestEngine(spec, "requests wait for the model")
+            }
         }
 
         fun planAdapter(model: String, adapter: String) {
-            val holders = engines.filter { model in it.tracker.holdings.models }
+            val holders = engines.filter { model in it.tracker.holdings.models && serves(it, model) }
             if (holders.isEmpty()) return planModel(model)
             val key = AdapterKey(model, adapter)
             if (holders.any { key in it.tracker.heldOrLoadingAdapters() && it.tracker.unloadingModel != model }) return
@@ -220,7 +232,7 @@
             maxDelayMs: Double = Double.MAX_VALUE,
         ) {
             val best = engines
-                .filter { !it.tracker.willHold(model.name) }
+                .filter { !it.tracker.willHold(model.name) && !it.isStrained() }
                 .filter { it.delayMs() <= maxDelayMs }
                 .mapNotNull { loadOptionFor(it, model, onlyCheapVictims) }
                 .filter { !onlyFromCopy || it.source != WeightSource.STORE }
@@ -280,12 +292,15 @@
             val interferenceMs = engine.inFlight * settings.runInterferenceMs
             val pendingMs = if (engine.tracker.pendingModel != null) settings.pendingLoadMs else 0.0
             val waitMs = engine.tracker.busyForMs(nowMs) + pendingMs + (plannedDelaysMs[engine] ?: 0.0)
+            val limitMs = engine.limitPerSecond?.let { limit ->
+                settings.limitCostMs * rateOf(model.name) / limit.coerceAtLeast(MIN_LIMIT_PER_SECOND)
+            } ?: 0.0
             val storePenaltyMs = if (source == WeightSource.STORE) settings.storeLoadPenaltyMs else 0.0
             return LoadOption(
                 engine = engine,
                 source = source,
                 victims = victims,
-                costMs = loadMs(model, source) + victimsCostMs + interferenceMs + waitMs + storePenaltyMs,
+                costMs = loadMs(model, source) + victimsCostMs + interferenceMs + waitMs + limitMs + storePenaltyMs,
                 isPossibleNow = victims.all { minStayLeftMs(engine, it) == 0L },
             )
         }
@@ -306,7 +321,8 @@
         }
 
         private fun evictionCostMs(engine: EngineSnapshot, model: String): Double {
-            val isHeldElsewhere = engines.any { it !== engine && model in it.tracker.holdings.models }
+            val isHeldElsewhere =
+                engines.any { it !== engine && !it.isStrained() && model in it.tracker.holdings.models }
             val share = if (isHeldElsewhere) settings.replicatedCostShare else 1.0
             val recentMs = (RECENT_USE_MS - (nowMs - history.lastUseMs(model))).coerceAtLeast(0)
             return remainingRunMs(engine, model).coerceAtMost(settings.maxRunWaitMs) +
@@ -331,6 +347,26 @@
 
         private fun EngineSnapshot.delayMs() = pendingPromptTokens / settings.prefillTokensPerMs + inFlight
 
+        /**
+         * Whether [engine] holds or will hold [model] and serves its requests. A strained engine does so for all but
+         * its most requested model, since another engine for that one relieves it.
+         */
+        private fun serves(engine: EngineSnapshot, model: String) = engine.tracker.willHold(model) &&
+            (!engine.isStrained() || engine.tracker.holdings.models.keys.maxByOrNull(::rateOf) != model)
+
+        /** Whether the models of the engine get more requests than it takes. */
+        private fun EngineSnapshot.isStrained(): Boolean {
+            val limit = limitPerSecond ?: return false
+            return strained.getOrPut(this) {
+                isAtLimit ||
+                    tracker.holdings.models.keys.sumOf { model ->
+                        rateOf(model) / engines.count { model in it.tracker.holdings.models }.coerceAtLeast(1)
+                    } > limit
+            }
+        }
+
+        private fun rateOf(model: String) = history.ratePerSecond(model, nowMs)
+
         private fun EngineSnapshot.isOverloaded() = delayMs() > settings.replicaDelayMs ||
             kvTokens > spec.kvCapacityTokens * settings.replicaKvShare ||
             inFlight >= spec.slots
@@ -374,6 +410,9 @@
         /** Requests per second below which a model gets no further replica. */
         const val MIN_RATE_FOR_REPLICA = 0.5
 
+        /** A lower limit costs no more, in requests a second: the engine then serves next to nothing. */
+        const val MIN_LIMIT_PER_SECOND = 0.1
+
         /** Least time that a model stays after its load, in milliseconds: enough to start the waiting requests. */
         const val MIN_STAY_MS = 700L
 
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
@@ -16,6 +16,8 @@
     runs: Map<String, Int> = emptyMap(),
     adapters: Map<String, Set<String>> = emptyMap(),
     runsEndInMs: Map<String, Long> = emptyMap(),
+    limitPerSecond: Double? = null,
+    isAtLimit: Boolean = false,
 ): EngineSnapshot {
     val holdings = EngineHoldings(3, held.associateWith { HeldModel(it, adapters[it].orEmpty()) }, onDisk = onDisk)
     return EngineSnapshot(
@@ -27,6 +29,8 @@
         inFlight = runs.values.sum(),
         pendingPromptTokens = 0,
         kvTokens = 0,
+        limitPerSecond = limitPerSecond,
+        isAtLimit = isAtLimit,
     )
 }
 
@@ -51,6 +55,14 @@
         orders.single().order shouldBe EngineOrder.LoadModel("m5", WeightSource.DISK)
     }
 
+    test("the most requested model of an engine at its limit is loaded on an engine that has room for requests") {
+        val limited = engine("a", setOf("m5"), limitPerSecond = 1.0, isAtLimit = true)
+        val strained = engine("b", emptySet(), onDisk = setOf("m5"), limitPerSecond = 0.5, isAtLimit = true)
+        val free = engine("c", emptySet(), onDisk = setOf("m5"))
+        plan(listOf(limited, strained, free), listOf(demand("m5"))).single().engine.tracker.incarnation.id shouldBe "c"
+        plan(listOf(engine("a", setOf("m5"), limitPerSecond = 1.0), free), listOf(demand("m5"))).shouldBeEmpty()
+    }
+
     test("a model that several queued demands need is planned once") {
         plan(List(4) { engine("e$it", emptySet()) }, listOf(demand("m5"), demand("m5", urgency = 2))) shouldHaveSize 1
     }
