Spend the trial of a quarantine only when its request is sent

A request that was allowed as the trial and then waited for its model was refused at its next check, because the first check had spent the trial. A quarantined part whose model is rarely loaded could then never be tried. Now check only decides, and onSent starts the trial. The test of the trial checks twice before it sends; that failed before.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -149,8 +149,9 @@
         return when (val choice = choose(admitted, exclude)) {
             is EndpointChoice.Send -> {
                 // Another request may have taken the rate since the choice.
-                val isAdmitted = rateLimiter.admit(choice.endpoint.incarnation, steadyMs())
-                if (isAdmitted) Step.Finish(EndpointSelection.Selected(choice.endpoint)) else Step.Wait(1)
+                if (!rateLimiter.admit(choice.endpoint.incarnation, steadyMs())) return Step.Wait(1)
+                quarantine.onSent(admitted.sharedPartIds, steadyMs())
+                Step.Finish(EndpointSelection.Selected(choice.endpoint))
             }
             is EndpointChoice.Limited -> awaitRate(admitted, choice.waitMs * (1 + queue))
             EndpointChoice.NoEndpoint -> Step.Finish(noEndpoint(admitted))
--- a/serving/src/main/kotlin/io/daisybend/serving/quarantine/PromptQuarantine.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/quarantine/PromptQuarantine.kt
@@ -45,25 +45,29 @@
         return synchronized(lock) {
             val quarantine = quarantines.firstOrNull { parts.containsAll(it.parts) }
             when {
-                quarantine == null || takeTrial(quarantine, nowMs) -> QuarantineVerdict.Allowed
+                quarantine == null || mayTry(quarantine, nowMs) -> QuarantineVerdict.Allowed
                 else -> QuarantineVerdict.Refused(quarantine, retryAfterMs(quarantine, nowMs))
             }
         }
     }
 
-    /** Whether a request with [parts] that was sent must be taken back; takes no trial. */
+    /** Records that a request with [parts] that [check] allowed is sent at [nowMs], which may be a trial. */
+    public fun onSent(parts: List<String>, nowMs: Long) {
+        val quarantine = quarantines.firstOrNull { parts.containsAll(it.parts) } ?: return
+        synchronized(lock) { if (mayTry(quarantine, nowMs)) trialAtMs[quarantine.key] = nowMs }
+    }
+
+    /** Whether a request with [parts] that was sent must be taken back; a trial must not. */
     public fun isQuarantined(parts: List<String>): Boolean {
         val quarantine = quarantines.firstOrNull { parts.containsAll(it.parts) } ?: return false
         return synchronized(lock) { quarantine.key !in trialAtMs }
     }
 
-    private fun takeTrial(quarantine: Quarantine, nowMs: Long): Boolean {
+    private fun mayTry(quarantine: Quarantine, nowMs: Long): Boolean {
         if (quarantine.failedTrials >= settings.maxTrials) return false
         val turnAtMs = quarantine.untilMs + rankOf(quarantine.key) * settings.trialTurnMs
-        val lastTrialAtMs = trialAtMs[quarantine.key]
-        if (nowMs < turnAtMs || (lastTrialAtMs != null && nowMs < lastTrialAtMs + settings.trialTurnMs)) return false
-        trialAtMs[quarantine.key] = nowMs
-        return true
+        val lastTrialAtMs = trialAtMs[quarantine.key] ?: return nowMs >= turnAtMs
+        return nowMs >= maxOf(turnAtMs, lastTrialAtMs + settings.trialTurnMs)
     }
 
     private fun retryAfterMs(quarantine: Quarantine, nowMs: Long): Long =
--- a/serving/src/test/kotlin/io/daisybend/serving/quarantine/PromptQuarantineTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/quarantine/PromptQuarantineTest.kt
@@ -75,7 +75,9 @@
         quarantine.end(2, 1_000, started("a", "x"))
         quarantine.check(listOf("a", "x"), 30_000).shouldBeInstanceOf<QuarantineVerdict.Refused>().retryAfterMs shouldBe
             10_000
-        quarantine.check(listOf("a", "x"), 31_000) shouldBe QuarantineVerdict.Allowed
+        repeat(2) { quarantine.check(listOf("a", "x"), 31_000) shouldBe QuarantineVerdict.Allowed }
+        quarantine.onSent(listOf("a", "x"), 31_000)
+        quarantine.isQuarantined(listOf("a", "x")) shouldBe false
         quarantine.check(listOf("a", "x"), 31_001).shouldBeInstanceOf<QuarantineVerdict.Refused>()
         quarantine.onAnswerProven(listOf("a", "x"), 32_000)
         quarantine.current.shouldBeEmpty()
@@ -90,6 +92,7 @@
         while (nowMs < 30_000_000) {
             nowMs += 1_000
             if (quarantine.check(listOf("x"), nowMs) is QuarantineVerdict.Refused) continue
+            quarantine.onSent(listOf("x"), nowMs)
             trialsMs.add(nowMs)
             quarantine.end(2 + trialsMs.size, nowMs, started("x"))
         }
--- a/serving/src/test/kotlin/io/daisybend/serving/quarantine/SimulatedPromptFleet.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/quarantine/SimulatedPromptFleet.kt
@@ -109,6 +109,7 @@
             return
         }
         val engine = engines.filter { it.backAtMs <= nowMs }.minByOrNull { it.running.size } ?: return
+        vm.quarantine.onSent(parts, nowMs)
         if (isDeadly && vm.cutUntilMs < nowMs) deadlySendsMs.add(nowMs)
         val startsAtMs = nowMs + random.nextLong(150, 500)
         engine.running.add(Request(vm.index, parts, startsAtMs, startsAtMs + random.nextLong(20, 60)))
