Take the ports of two tests from below the ephemeral range

The test took ephemeral ports, closed them and bound them again; an outgoing connection of any process can take one in between. freePorts now draws from TestSite's range, as the other tests of the daemon do. The checks are the same.

--- a/daemon/src/test/kotlin/io/daisybend/daemon/configuration/SiteFake.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/configuration/SiteFake.kt
@@ -18,6 +18,7 @@
 import io.daisybend.configuration.diffManifests
 import io.daisybend.configuration.newKey
 import io.daisybend.configuration.toTables
+import io.daisybend.daemon.TestSite
 import io.daisybend.kernel.LogBatch
 import io.daisybend.kernel.LogFailure
 import io.daisybend.kernel.LogRecord
@@ -36,7 +37,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
-import java.net.ServerSocket
 import java.security.SecureRandom
 
 internal class SharedLogFake {
@@ -128,7 +128,6 @@
 private const val PROPAGATION_TIMEOUT_MS = 10_000L
 private const val POLL_INTERVAL_MS = 20L
 
-internal fun freePorts(count: Int): List<Int> {
-    val sockets = List(count) { ServerSocket(0) }
-    return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
-}
+/** Returns [count] different free ports; see [TestSite.freePort]. */
+internal fun freePorts(count: Int): List<Int> =
+    generateSequence { TestSite.freePort() }.distinct().take(count).toList()
--- a/daemon/src/test/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcherTest.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/dispatch/AtMostOnceServiceDispatcherTest.kt
@@ -7,6 +7,7 @@
 import io.daisybend.configuration.EndpointSpec
 import io.daisybend.configuration.Manifest
 import io.daisybend.configuration.RouteSpec
+import io.daisybend.daemon.configuration.freePorts
 import io.daisybend.daemon.endpoint.HttpServiceClient
 import io.daisybend.daemon.endpoint.ScriptedConnection
 import io.daisybend.daemon.endpoint.ScriptedServer
@@ -36,7 +37,6 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
@@ -178,8 +178,8 @@
 
         override fun current() = index
     }
-    private val addresses = (0 until 3).associate { index ->
-        VmId("vm-$index") to HostAndPort("127.0.0.1", ServerSocket(0).use { it.localPort })
+    private val addresses = freePorts(3).withIndex().associate { (index, port) ->
+        VmId("vm-$index") to HostAndPort("127.0.0.1", port)
     }
     private val scopes = List(3) { CoroutineScope(SupervisorJob() + Dispatchers.Default) }
     private val networks = addresses.keys.map { PeerNetwork(it, "secret".encodeToByteArray(), addresses::get) }
