Report a limit only from the VM that got the response

Timers were 1 to 5 ms late: not the machine.

Cause: every VM repeated each limit and unused bucket that it had heard of in three reports. Now only the VM that got the response reports it, and a use only if there is one.

--- a/serving/src/main/kotlin/io/daisybend/serving/rates/EndpointRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/EndpointRateLimiter.kt
@@ -31,7 +31,7 @@
 ) {
     private class Limit(var perSecond: Double?, var observedAtMs: Long) {
         var neededLevel = 0.0
-        var reportsLeft = REPORTS_OF_A_CHANGE
+        var reportsLeft = 0
     }
 
     private val lock = Any()
@@ -57,7 +57,8 @@
         limit.observedAtMs = observedAtMs
         if (limit.perSecond == perSecond) return false
         limit.perSecond = perSecond
-        limit.reportsLeft = REPORTS_OF_A_CHANGE
+        // Only a VM that got the response reports it: repeated by all VMs, reports fill the links of a large fleet.
+        limit.reportsLeft = if (observedAtMs == nowMs) REPORTS_OF_A_CHANGE else 0
         if (perSecond != null) {
             buckets.setLimit(endpoint, usedRate(perSecond), burst(perSecond), nowMs)
             limit.neededLevel = drawNeededLevel(perSecond)
@@ -108,7 +109,9 @@
         isPeerOlder: Boolean,
         nowMs: Long,
     ): Unit = synchronized(lock) {
-        uses.forEach { (endpoint, use) -> observe(endpoint, use.perSecond, nowMs - use.observedAgoMs, nowMs) }
+        uses.forEach { (endpoint, use) ->
+            observe(endpoint, use.perSecond, nowMs - use.observedAgoMs.coerceAtLeast(1), nowMs)
+        }
         buckets.onPeerUse(peer, peerStartedAtMs, uses.mapValues { it.value.use }, isPeerOlder, nowMs)
     }
 
@@ -134,7 +137,7 @@
     public fun reportChanges(nowMs: Long): Map<Incarnation, EndpointLimitUse> = synchronized(lock) {
         val changed = buckets.reportChanges()
         val all = buckets.uses()
-        limits.filter { (endpoint, limit) -> limit.reportsLeft-- > 0 || endpoint in changed }
+        limits.filter { (endpoint, limit) -> limit.reportsLeft-- > 0 || (changed[endpoint]?.admitted ?: 0.0) > 0.0 }
             .mapValues { (endpoint, limit) -> toUse(limit, all[endpoint], nowMs) }
     }
 
--- a/serving/src/test/kotlin/io/daisybend/serving/rates/EndpointRateLimiterTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/rates/EndpointRateLimiterTest.kt
@@ -179,6 +179,8 @@
         limiter.onResponse(engine, 1.0, 0)
         peer.onPeerUses("vm-1", 1, limiter.reportChanges(10), isPeerOlder = false, 10)
         peer.current.getValue(engine) shouldBe 1.0
+        // All VMs of a large fleet repeated what they had heard.
+        peer.reportChanges(20) shouldBe emptyMap()
         peer.waitMs(Incarnation("engine", 2), 10) shouldBe 0
         limiter.onResponse(engine, null, 2_000)
         peer.onPeerUses("vm-1", 1, limiter.reportChanges(2_010), isPeerOlder = false, 2_010)
