Log what marked the end of each answer, and count the events of streams

For the incident ORDER: from the logs one could not tell whether an answer had ended by its length, by its last chunk or with its connection, nor after how many events. The request line has both now (endMark, events).

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
@@ -9,6 +9,7 @@
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.rates.TeamRateLimiter
+import io.daisybend.serving.site.RouteKind
 import kotlinx.coroutines.coroutineScope
 
 /** Final result of a request, as written to the log. */
@@ -64,6 +65,8 @@
             "status" to outcome.status,
             "cause" to outcome.cause,
             "ran" to outcome.ran,
+            "endMark" to sender.endMark?.let { it::class.simpleName },
+            "events" to sender.eventCount.takeIf { admitted.route.kind == RouteKind.STREAM },
         )
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -6,6 +6,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
+import io.daisybend.entry.http.BodyFraming
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.platform.RequestLimit
 import io.daisybend.platform.SendHeaders
@@ -64,6 +65,12 @@
     /** Time from the arrival of the request to the first piece of its response, in milliseconds. */
     val firstPieceMs: Long? get() = relay.firstPieceMs
 
+    /** What marked the end of the response that was received completely, or null. */
+    val endMark: BodyFraming? get() = relay.endMark
+
+    /** Number of complete events that the last endpoint sent. */
+    val eventCount: Int get() = lastExchange?.progress?.eventCount ?: 0
+
     private val relay = ResponseRelay(connection, admitted, endpointPool, responseMemory, steadyMs)
     private val failedEndpoints = HashSet<String>()
     private var lastExchange: TrackedExchange? = null
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -28,6 +28,10 @@
     var firstPieceMs: Long? = null
         private set
 
+    /** What marked the end of the completely received response, or null. */
+    var endMark: BodyFraming? = null
+        private set
+
     /** Id of the last event forwarded from a resumable stream, or null. */
     val lastEventId: String? get() = eventBuffer?.lastEventId
 
@@ -67,6 +71,7 @@
         if (response.head.status in SUCCESS) endpointPool.outcomes.recordCompleteAnswer(admitted, tracked)
         response.exchange.finish()
         firstPieceMs = steadyMs() - admitted.arrivedAtMs
+        endMark = response.head.framing
         connection.writeResponse(
             response.head.status,
             headersForCaller(response.head.headers),
@@ -103,6 +108,7 @@
         if (failureReason.isEmpty()) {
             endpointPool.exchanges.onCompleted(tracked)
             endpointPool.outcomes.recordCompleteAnswer(admitted, tracked)
+            endMark = response.head.framing
             connection.endResponse()
             return completedResult(response.head.status)
         }
