Take an answer that ends together with its endpoint as broken off

Cause: a response with neither a length nor chunks ends with its connection, and the kernel of an engine whose process ends closes connections in order too. Class: an end of transport taken for an end of message.

Evidence: of the four tests of BrokenAnswerTest three failed before: a stream that ends with its engine between two events got a last chunk, a resumable one was not resumed, and half of a whole answer came as 200. The fourth passed before: resets after a 200 head, with a length, in chunks and without either, on new and kept connections, whole and streamed.

Why this works: an endpoint that still accepts connections outlived its answer, so it ended the connection on purpose; one that does not has crashed, and its answer counts as broken off. The check opens one connection, shared by all answers that end at the same time, and kept for the next request: the connection of such an answer can't be kept anyway.

Ruled out: passing the close on as a close. Our own VM may be killed in the middle of a stream, and its kernel would then end the caller's connection in order as well; with chunks the caller sees that the last one is missing.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineEndDetector.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineEndDetector.kt
@@ -1,5 +1,5 @@
 /*
- * Finds out whether an engine has ended after it broke off an answer: an engine that still accepts connections has not.
+ * Finds out whether an endpoint has ended with an answer: an endpoint that still accepts connections has not.
  */
 package io.daisybend.entry.exchange
 
@@ -45,8 +45,8 @@
         }
     }
 
-    /** The requests that one end of an engine breaks off share one check. */
-    private suspend fun hasEnded(endpoint: Endpoint): Boolean {
+    /** Returns whether [endpoint] accepts no connections; the answers that end with it share one check. */
+    suspend fun hasEnded(endpoint: Endpoint): Boolean {
         val check = checks.computeIfAbsent(endpoint.incarnation) { scope.async { !acceptsConnection(endpoint) } }
         return try {
             check.await()
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -71,7 +71,7 @@
     /** Number of complete events that the last endpoint sent. */
     val eventCount: Int get() = lastExchange?.progress?.eventCount ?: 0
 
-    private val relay = ResponseRelay(connection, admitted, endpointPool, responseMemory, steadyMs)
+    private val relay = ResponseRelay(connection, admitted, endpointPool, endDetector, responseMemory, steadyMs)
     private val failedEndpoints = HashSet<String>()
     private var lastExchange: TrackedExchange? = null
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -1,6 +1,8 @@
 /*
  * Forwards an endpoint's response to the caller, either whole or as a stream. For a resumable stream only complete
- * events are forwarded, so that another endpoint can resume after the last one.
+ * events are forwarded, so that another endpoint can resume after the last one. A response that is delimited by the end
+ * of its connection is complete only if the endpoint is still there: the connections of a process that crashes may end
+ * in the same way.
  */
 package io.daisybend.entry.exchange
 
@@ -21,6 +23,7 @@
     private val connection: CallerConnection,
     private val admitted: AdmittedRequest,
     private val endpointPool: EndpointPool,
+    private val endDetector: EngineEndDetector,
     private val responseMemory: BodyMemory,
     private val steadyMs: () -> Long,
 ) {
@@ -68,6 +71,9 @@
             null
         }
         if (body == null) return onBroken(endpoint, response, "an answer that broke off", connectionEnded = false)
+        if (endsWithEndpoint(endpoint, response)) {
+            return onBroken(endpoint, response, "an answer that ended with its endpoint", connectionEnded = true)
+        }
         if (response.head.status in SUCCESS) endpointPool.outcomes.recordCompleteAnswer(admitted, tracked)
         response.exchange.finish()
         firstPieceMs = steadyMs() - admitted.arrivedAtMs
@@ -96,7 +102,8 @@
         }
         var connectionEnded = false
         val failureReason = try {
-            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { forwardEvents(response, tracked) } ?: "no end in time"
+            withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { forwardEvents(endpoint, response, tracked) }
+                ?: "no end in time"
         } catch (idle: StreamIdleException) {
             idle.message.orEmpty()
         } catch (broken: IOException) {
@@ -128,7 +135,11 @@
     }
 
     /** Forwards the body as it arrives; returns an empty string at the end of the stream. */
-    private suspend fun forwardEvents(response: SendStart.HeadReceived, tracked: TrackedExchange): String {
+    private suspend fun forwardEvents(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        tracked: TrackedExchange,
+    ): String {
         var isProven = false
         var receivedBytes = 0
         while (true) {
@@ -144,19 +155,27 @@
             }
             connection.writeChunk(eventBuffer?.completeEvents(bytes) ?: bytes)
         }
-        problemAtEnd(response, tracked)?.let { throw ConnectionBrokenException(EOFException(it)) }
+        problemAtEnd(endpoint, response, tracked)?.let { throw ConnectionBrokenException(EOFException(it)) }
         eventBuffer?.takeRemainder()?.let { connection.writeChunk(it) }
         return ""
     }
 
-    private fun problemAtEnd(response: SendStart.HeadReceived, tracked: TrackedExchange): String? = when {
+    private suspend fun problemAtEnd(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        tracked: TrackedExchange,
+    ): String? = when {
         tracked.progress.isInsideEvent -> "the stream ends inside an event"
         // Without a length or chunks, an engine that ends before its first event looks like the end of the stream.
         response.head.framing == BodyFraming.UntilClose && tracked.progress.eventCount == 0 ->
             "the stream ends before its first event"
+        endsWithEndpoint(endpoint, response) -> "the stream ends with its endpoint"
         else -> null
     }
 
+    private suspend fun endsWithEndpoint(endpoint: Endpoint, response: SendStart.HeadReceived): Boolean =
+        response.head.framing == BodyFraming.UntilClose && endDetector.hasEnded(endpoint)
+
     private suspend fun readNextPiece(response: SendStart.HeadReceived): ByteArray? {
         if (!admitted.route.resumable) return response.exchange.body.readPiece()
         var piece: ByteArray? = null
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -27,6 +27,18 @@
 
     /** As [UNFRAMED], but ends the connection within an event. */
     UNFRAMED_BREAK_MID_EVENT,
+
+    /** As [UNFRAMED], but the process ends between two events, or after half of a whole response. */
+    UNFRAMED_CRASH,
+
+    /** Resets the connection after the head and half of the response, which has a length. */
+    RESET_WITH_LENGTH,
+
+    /** As [RESET_WITH_LENGTH], but in chunks. */
+    RESET_CHUNKED,
+
+    /** As [RESET_WITH_LENGTH], but with neither a length nor chunks. */
+    RESET_UNFRAMED,
     HANG,
     UNSEALED,
     ENDLESS_HEAD,
@@ -69,13 +81,33 @@
             Behaviour.ENDLESS_BODY -> sendWithoutEnd(call, encodeHead("HTTP/1.1 200 OK", ownHeaders(call)), filler)
             Behaviour.ENDLESS_EVENT -> sendWithoutEnd(
                 call,
-                encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + Header("Transfer-Encoding", "chunked")),
+                encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + chunked),
                 encodeChunk(filler),
             )
+            Behaviour.UNFRAMED_CRASH -> sendHalf(call, emptyList()) { crash() }
+            Behaviour.RESET_WITH_LENGTH ->
+                sendHalf(call, listOf(Header("Content-Length", "1000"))) { call.resetConnection() }
+            Behaviour.RESET_CHUNKED -> sendHalf(call, chunked) { call.resetConnection() }
+            Behaviour.RESET_UNFRAMED -> sendHalf(call, emptyList()) { call.resetConnection() }
             else -> serve(call, behaviour)
         }
     }
 
+    /** Sends half of the events of a stream, or of a whole response, with [framing], and then calls [end]. */
+    private suspend fun sendHalf(call: FakeServerCall, framing: List<Header>, end: suspend () -> Unit) {
+        val isStream = streamPaths.any { call.head.path.startsWith(it) }
+        val firstEvent = (call.header("Last-Event-Id")?.toInt() ?: 0) + 1
+        val half = if (isStream) {
+            (firstEvent until BREAK_AT_EVENT).joinToString("") { "id: $it\ndata: $it\n\n" }
+        } else {
+            id
+        }.encodeToByteArray()
+        val body = if (framing == chunked) encodeChunk(half) else half
+        call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + framing), body)
+        delay(ARRIVAL_MS)
+        end()
+    }
+
     private suspend fun serve(call: FakeServerCall, behaviour: Behaviour) {
         val isUnframed = behaviour == Behaviour.UNFRAMED || behaviour == Behaviour.UNFRAMED_BREAK_MID_EVENT
         if (streamPaths.none { call.head.path.startsWith(it) }) {
@@ -92,11 +124,11 @@
             return
         }
         if (DEADLY_PART in call.header("X-Daisybend-Prompt-Prefix").orEmpty()) {
-            call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + Header("Transfer-Encoding", "chunked")))
+            call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + chunked))
             return crash()
         }
         val firstEvent = (call.header("Last-Event-Id")?.toInt() ?: 0) + 1
-        val framing = if (isUnframed) emptyList() else listOf(Header("Transfer-Encoding", "chunked"))
+        val framing = if (isUnframed) emptyList() else chunked
         call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + framing))
         val breaksOff = behaviour == Behaviour.BREAK_MID_EVENT || behaviour == Behaviour.UNFRAMED_BREAK_MID_EVENT
         for (number in firstEvent..EVENTS) {
@@ -126,6 +158,10 @@
         private val streamPaths = listOf("/stream/", "/events/")
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
+
+        /** Time in which sent bytes reach the VM, in milliseconds; a reset would discard them. */
+        private const val ARRIVAL_MS = 50L
+        private val chunked = listOf(Header("Transfer-Encoding", "chunked"))
         private const val LARGE_RESPONSE_BYTES = 200_000
         private val filler = ByteArray(4_096) { 'x'.code.toByte() }
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -13,6 +13,7 @@
 import io.daisybend.entry.http.readHeadLines
 import io.daisybend.entry.http.writeAll
 import io.daisybend.platform.Header
+import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
@@ -25,6 +26,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.channels.SocketChannel
 import java.util.concurrent.ConcurrentHashMap
 
 /** One request to a fake server, with the means to respond. */
@@ -43,6 +46,14 @@
 
     fun closeConnection() = socket.close()
 
+    /** Closes the connection with a reset instead of an orderly end. */
+    fun resetConnection() {
+        val channel = (socket as Selectable).channel as SocketChannel
+        channel.setOption(StandardSocketOptions.SO_LINGER, 0)
+        // Closing the socket would end its output in order first.
+        channel.close()
+    }
+
     fun header(name: String): String? = head.headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
 
