Take the order duty again after the store came back from an older copy

No rule was broken.

Cause: the lease kept the larger of its own offset and the log's end. After a restoration no append at that offset could succeed, on any VM. Worse, an append at an offset that was given out again could succeed and make a VM the holder that stood still while another one took over; and epochs could fall. Class: an offset taken for an identity that outlives the log it came from.

In a new era the lease treats its offset as void and reads where the log ends. The holder goes on at once if its newest renewal is too young for a successor; all others wait as after a new record. Epochs contain the era in their upper bits, so they increase over all eras and tell which era a record is of. An append of an earlier era proves nothing. A VM that starts in a later era waits too: who may still order is not in its log.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
@@ -62,7 +62,9 @@
         val record = requested.toRecord() ?: return false
         if (!synchronized(lock) { lease.mayAppendFor(record) }) return false
         val bytes = writeRecord(record.holder, record.epoch)
-        store.append(StoreTopic.DUTY, bytes, record.offset, APPEND_TIMEOUT_MS).getOrElse {
+        val appended = store.append(StoreTopic.DUTY, bytes, record.offset, APPEND_TIMEOUT_MS)
+        followEra()
+        appended.getOrElse {
             log.write("duty-append-for-peer-failed", "holder" to record.holder.toString(), "reason" to it.message)
             if (it is StoreFailure.OffsetConflict) onAppendConflict(record.offset, it.end)
             return it is StoreFailure.OffsetConflict
@@ -85,9 +87,14 @@
     /** Renews or tries to acquire the lease until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
+            followEra()
             val candidateRank = rank()
             val step = candidateRank?.let { synchronized(lock) { lease.nextStep(clocks.read(), it) } } ?: DutyStep.Wait
-            if (step is DutyStep.Append) append(step.atOffset)
+            when (step) {
+                is DutyStep.Append -> append(step.atOffset)
+                DutyStep.ReadLog -> readLog()
+                DutyStep.Wait -> Unit
+            }
             delay(if (candidateRank == null) MAX_CHECK_INTERVAL_MS else nextCheckDelayMs(candidateRank))
         }
     }
@@ -99,20 +106,47 @@
     private suspend fun append(atOffset: Long) {
         val sentAt = clocks.read()
         val epoch = synchronized(lock) {
-            lease.onAppendSent(sentAt)
-            lease.ownEpoch ?: (atOffset + 1)
+            lease.onAppendSent(atOffset, sentAt)
+            lease.epochFor(atOffset)
         }
-        val offset = store.append(StoreTopic.DUTY, writeRecord(ownHolder, epoch), atOffset, APPEND_TIMEOUT_MS)
-            .getOrElse { return onAppendFailed(atOffset, it) }
+        val appended = store.append(StoreTopic.DUTY, writeRecord(ownHolder, epoch), atOffset, APPEND_TIMEOUT_MS)
+        followEra()
+        val offset = appended.getOrElse { return onAppendFailed(atOffset, it) }
         val isLeaseAcquired = synchronized(lock) { lease.onAppended(sentAt, offset, epoch) }
         if (!isLeaseAcquired) return
         log.write("duty-taken", "epoch" to epoch, "offset" to offset)
         onAcquired()
     }
 
+    /** Tells the lease of the store's era; called after each call, before its result is used. */
+    private fun followEra() {
+        val era = store.era ?: return
+        if (synchronized(lock) { lease.onStoreEra(era, clocks.read()) }) log.write("duty-era-changed", "era" to era)
+    }
+
+    private suspend fun readLog() {
+        val readEra = store.era ?: return
+        synchronized(lock) { lease.onReadSent(clocks.read()) }
+        val read = store.readAll(StoreTopic.DUTY, APPEND_TIMEOUT_MS).getOrElse {
+            synchronized(lock) { lease.onCallFailed() }
+            log.write("duty-log-unread", "from" to "start", "reason" to it.message)
+            return
+        }
+        followEra()
+        val firstOffset = read.nextOffset - read.records.size
+        val records = read.records.mapIndexedNotNull { index, record -> readRecord(record, firstOffset + index) }
+        synchronized(lock) { lease.onLogRead(records, read.nextOffset, readEra, clocks.read()) }
+        log.write(
+            "duty-log-read",
+            "era" to readEra,
+            "end" to read.nextOffset,
+            "holder" to records.lastOrNull()?.holder?.toString(),
+        )
+    }
+
     private suspend fun onAppendFailed(atOffset: Long, failure: StoreFailure) {
         if (failure is StoreFailure.OffsetConflict) return onAppendConflict(atOffset, failure.end)
-        synchronized(lock) { lease.onAppendFailed() }
+        synchronized(lock) { lease.onCallFailed() }
         // Peers have to append the renewal while the lease is valid; the next regular report may be too late.
         if (currentEpoch() != null) onRenewalFailed()
         log.write("duty-append-failed", "offset" to atOffset, "reason" to failure.message)
@@ -123,9 +157,9 @@
             .onFailure { log.write("duty-log-unread", "from" to from, "reason" to it.message) }
             .map { read -> read.records.mapIndexedNotNull { index, record -> readRecord(record, from + index) } }
             .getOrElse { emptyList() }
-        synchronized(lock) {
-            lease.onAppendConflict(missedRecords, maxOf(end, from + missedRecords.size), clocks.read())
-        }
+        followEra()
+        val knownEnd = missedRecords.lastOrNull()?.let { maxOf(end, it.offset + 1) } ?: end
+        synchronized(lock) { lease.onAppendConflict(missedRecords, knownEnd, clocks.read()) }
         log.write(
             "duty-log-moved",
             "from" to from,
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
@@ -1,9 +1,10 @@
 /*
  * Fake of the platform's store that follows its published interface: logs with offsets and conditional appends, and the
- * newest record of each key. It can be made unavailable.
+ * newest record of each key. It can be made unavailable, and can come back from an older copy in a new era.
  */
 package io.daisybend.entry.standin
 
+import io.daisybend.platform.Header
 import io.daisybend.platform.readKeyedRecord
 import io.daisybend.platform.writeKeyedRecord
 import kotlinx.coroutines.delay
@@ -17,6 +18,21 @@
     @Volatile
     var isDown = false
 
+    private var era = 1L
+
+    /** Returns a copy of all logs. */
+    fun copy(): Map<String, List<ByteArray>> = synchronized(logs) { logs.mapValues { it.value.toList() } }
+
+    /** Replaces all logs by an older [copy]; offsets are given out again, and the era rises. */
+    fun restore(copy: Map<String, List<ByteArray>>) = synchronized(logs) {
+        logs.clear()
+        copy.forEach { (topic, records) -> logs[topic] = ArrayList(records) }
+        era++
+    }
+
+    /** Returns the number of records of [topic]. */
+    fun endOf(topic: String): Int = synchronized(logs) { logs[topic]?.size ?: 0 }
+
     /** Appends [value] for [key] to [topic]; null deletes the key. */
     fun put(topic: String, key: String, value: String?) = synchronized(logs) {
         logs.getOrPut(topic) { ArrayList() }.add(writeKeyedRecord(key, value.orEmpty().encodeToByteArray()))
@@ -48,17 +64,18 @@
                 200 to log.size - 1
             }
         }
-        call.respond(status, """{"offset":$offset,"end":${offset + if (status == 200) 1 else 0}}""".encodeToByteArray())
+        respond(call, status, """{"offset":$offset,"end":${offset + if (status == 200) 1 else 0}}""".encodeToByteArray())
     }
 
     private suspend fun read(call: FakeServerCall, topic: String, from: Int, waitMs: Long) {
         val waitEndNanos = System.nanoTime() + waitMs * NANOS_PER_MILLI
         while (System.nanoTime() < waitEndNanos && synchronized(logs) { (logs[topic]?.size ?: 0) <= from }) delay(5)
+        if (from > endOf(topic)) return respond(call, 410, """{"first":0}""".encodeToByteArray())
         val records = synchronized(logs) { logs[topic].orEmpty().drop(from) }
         val body = ByteBuffer.allocate(16 + records.sumOf { 4 + it.size })
         body.putLong(from + records.size.toLong()).putLong(0)
         records.forEach { body.putInt(it.size).put(it) }
-        call.respond(200, body.array())
+        respond(call, 200, body.array())
     }
 
     private suspend fun newest(call: FakeServerCall, topic: String) {
@@ -68,12 +85,16 @@
                 val encoded = Base64.getEncoder().encodeToString(value!!.encodeToByteArray())
                 """{"key":"$key","value":"$encoded","offset":0}"""
             }
-        call.respond(
+        respond(
+            call,
             200,
             """{"items":[${items.joinToString(",")}],"more":false,"end":${records.size}}""".encodeToByteArray(),
         )
     }
 
+    private suspend fun respond(call: FakeServerCall, status: Int, body: ByteArray) =
+        call.respond(status, body, listOf(Header("Store-Era", synchronized(logs) { era }.toString())))
+
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -12,6 +12,10 @@
  * A holder whose renewals failed resumes as soon as an append succeeds, since success means that no other VM appended.
  * While its own appends to the store fail, it asks its peers to append the renewal. The validity of a record that a
  * peer appended counts from the first attempt of the holder for that offset.
+ *
+ * When the store comes back from an older copy, its era rises: records are gone and offsets are given out again, so an
+ * append at an offset of an earlier era proves nothing. Each VM then reads where the log ends. The holder may go on at
+ * once, if its newest record is too young for a successor; all others wait as if they had seen a new record.
  */
 package io.daisybend.serving.duty
 
@@ -31,9 +35,6 @@
     val candidateStaggerMs: Long = 120,
 )
 
-/** A record of the lease at [offset] of the log; [epoch] increases with each change of the holder. */
-public data class DutyRecord(val holder: DutyHolder, val epoch: Long, val offset: Long)
-
 /** The action that the lease requests. */
 public sealed interface DutyStep {
     /** Do nothing now. */
@@ -41,17 +42,28 @@
 
     /** Append a record of this VM at exactly [atOffset]. */
     public data class Append(val atOffset: Long) : DutyStep
+
+    /** Read the log, whose end is not known in the current era of the store. */
+    public data object ReadLog : DutyStep
 }
 
 /** The state of the lease on one VM; not thread-safe. */
 public class DutyLease(private val own: DutyHolder, private val settings: DutySettings, startedAt: ClockReading) {
     private var newest: DutyRecord? = null
-    private var nextOffset = 0L
+
+    /** The era of the store, or null before the first contact. */
+    private var era: Long? = null
+
+    /** The end of the log, or null until it is read in the current era. */
+    private var nextOffset: Long? = 0L
     private var learnedAt = startedAt
     private var isLogKnown = false
     private var validFrom: ClockReading? = null
+
+    /** When this VM sent its newest renewal that succeeded, or null. */
+    private var renewedAt: ClockReading? = null
     private var lastAppendAt: ClockReading? = null
-    private var isAppendInFlight = false
+    private var isCallInFlight = false
     private var isStoreFailing = false
     private var attemptedOffset = -1L
     private var firstAttemptAt = startedAt
@@ -63,7 +75,31 @@
     public val ownEpoch: Long? get() = newest?.takeIf { it.holder == own }?.epoch
 
     private val wasHeldByPreviousProcess: Boolean
-        get() = newest?.let { it.holder != own && it.holder.isOnSameVm(own) } ?: false
+        get() = newest?.let { it.holder != own && it.holder.isOnSameVm(own) && it.isOfCurrentEra } ?: false
+
+    private val DutyRecord.isOfCurrentEra: Boolean get() = this@DutyLease.era.let { it == null || it == era }
+
+    /** Returns the epoch of the record that this VM appends at [offset]. */
+    public fun epochFor(offset: Long): Long =
+        newest?.takeIf { it.holder == own && it.isOfCurrentEra }?.epoch ?: DutyRecord.epochAt(era ?: 0, offset)
+
+    /**
+     * Applies the [newEra] of the store, learned at [now]; has no effect unless it is newer than the known one. Returns
+     * whether the store has come back from an older copy since the last contact.
+     */
+    public fun onStoreEra(newEra: Long, now: ClockReading): Boolean {
+        val known = era
+        if (known != null && newEra <= known) return false
+        era = newEra
+        // In the first era the log has all records; in a later one a VM that starts does not know who may still order.
+        if (known == null && newEra <= FIRST_ERA) return false
+        nextOffset = null
+        attemptedOffset = -1
+        lastAppendAt = null
+        isLogKnown = true
+        learnedAt = now
+        return known != null
+    }
 
     /** Returns whether this VM may send an order at [now]. */
     public fun mayOrder(now: ClockReading): Boolean {
@@ -73,12 +109,16 @@
 
     /** Applies a record that a peer reported at [now], unless this VM knows it or a newer one. */
     public fun onPeerRecord(record: DutyRecord, now: ClockReading) {
-        if (record.offset < nextOffset) return
+        val knownEra = era
+        if (knownEra != null && record.era < knownEra) return
+        onStoreEra(record.era, now)
+        if (record.offset < (nextOffset ?: 0)) return
         val isOwnRenewal = record.holder == own && record.epoch == ownEpoch && record.offset == attemptedOffset
         if (!isOwnRenewal) {
             validFrom = null
         } else if (validFrom != null) {
             validFrom = firstAttemptAt
+            renewedAt = firstAttemptAt
         }
         newest = record
         nextOffset = record.offset + 1
@@ -91,40 +131,52 @@
      * holds the lease, its last append failed and the renewal interval has passed. Counts as an attempt to append.
      */
     public fun renewalToDelegate(now: ClockReading): DutyRecord? {
-        val held = newest?.takeIf { it.holder == own && isStoreFailing } ?: return null
-        val renewedAt = validFrom ?: return null
-        if (now.ageOf(renewedAt) < settings.renewalIntervalMs) return null
-        recordAttempt(now)
-        return DutyRecord(own, held.epoch, nextOffset)
+        val held = newest?.takeIf { it.holder == own && it.isOfCurrentEra && isStoreFailing } ?: return null
+        val offset = nextOffset ?: return null
+        if (now.ageOf(validFrom ?: return null) < settings.renewalIntervalMs) return null
+        recordAttempt(offset, now)
+        return DutyRecord(own, held.epoch, offset)
     }
 
     /** Returns whether this VM may append [renewal] for its holder: it must be the next record of the newest epoch. */
     public fun mayAppendFor(renewal: DutyRecord): Boolean =
-        renewal.offset == nextOffset && newest?.holder == renewal.holder && newest?.epoch == renewal.epoch
+        renewal.offset == nextOffset &&
+            renewal.isOfCurrentEra &&
+            newest?.holder == renewal.holder &&
+            newest?.epoch == renewal.epoch
 
-    private fun recordAttempt(now: ClockReading) {
-        if (attemptedOffset == nextOffset) return
-        attemptedOffset = nextOffset
+    private fun recordAttempt(offset: Long, now: ClockReading) {
+        if (attemptedOffset == offset) return
+        attemptedOffset = offset
         firstAttemptAt = now
     }
 
     /** Returns the action to take at [now]; [rank] is the position of this VM among the candidates, 0 first. */
     public fun nextStep(now: ClockReading, rank: Int): DutyStep {
-        if (isAppendInFlight) return DutyStep.Wait
+        if (isCallInFlight) return DutyStep.Wait
         val sinceAppendMs = lastAppendAt?.let { now.ageOf(it) } ?: Long.MAX_VALUE
-        if (newest?.holder == own && validFrom != null) {
-            return if (sinceAppendMs >= settings.renewalIntervalMs) DutyStep.Append(nextOffset) else DutyStep.Wait
-        }
         if (sinceAppendMs < settings.renewalIntervalMs) return DutyStep.Wait
+        val offset = nextOffset ?: return DutyStep.ReadLog
+        if (isHolder(now)) return DutyStep.Append(offset)
         val sinceLearnedMs = now.steadyMs - learnedAt.steadyMs
-        return if (sinceLearnedMs >= requiredQuietMs(rank)) DutyStep.Append(nextOffset) else DutyStep.Wait
+        return if (sinceLearnedMs >= requiredQuietMs(rank)) DutyStep.Append(offset) else DutyStep.Wait
+    }
+
+    /**
+     * Whether this VM may renew without waiting. In an earlier era of the store that holds while no successor can have
+     * waited long enough: its records may be gone.
+     */
+    private fun isHolder(now: ClockReading): Boolean {
+        val held = newest?.takeIf { it.holder == own } ?: return false
+        if (held.isOfCurrentEra) return validFrom != null
+        return renewedAt?.let { now.ageOf(it) < settings.validityMs + settings.handoverGapMs } ?: false
     }
 
     /** Returns the time after [now] at which [nextStep] may request an append, in milliseconds, if nothing changes. */
     public fun nextStepInMs(now: ClockReading, rank: Int): Long {
         val sinceAppendMs = lastAppendAt?.let { now.ageOf(it) } ?: Long.MAX_VALUE
         val renewalInMs = settings.renewalIntervalMs - sinceAppendMs.coerceAtMost(settings.renewalIntervalMs)
-        if (newest?.holder == own && validFrom != null) return renewalInMs
+        if (nextOffset == null || isHolder(now)) return renewalInMs
         return maxOf(renewalInMs, requiredQuietMs(rank) - (now.steadyMs - learnedAt.steadyMs))
     }
 
@@ -135,37 +187,63 @@
         return if (wasHeldByPreviousProcess) 0 else waitMs + rank * settings.candidateStaggerMs
     }
 
-    /** Records that an append was sent at [now]. */
-    public fun onAppendSent(now: ClockReading) {
-        isAppendInFlight = true
+    /** Records that an append at [offset] was sent at [now]. */
+    public fun onAppendSent(offset: Long, now: ClockReading) {
+        isCallInFlight = true
+        lastAppendAt = now
+        recordAttempt(offset, now)
+    }
+
+    /** Records that a read of the log was sent at [now]. */
+    public fun onReadSent(now: ClockReading) {
+        isCallInFlight = true
         lastAppendAt = now
-        recordAttempt(now)
     }
 
     /**
      * Records that the append for [epoch] sent at [sentAt] succeeded at [offset]. Returns whether this VM starts or
-     * resumes sending orders.
+     * resumes sending orders. An append of an earlier era proves nothing and has no effect.
      */
     public fun onAppended(sentAt: ClockReading, offset: Long, epoch: Long): Boolean {
-        isAppendInFlight = false
+        isCallInFlight = false
+        isStoreFailing = false
+        val record = DutyRecord(own, epoch, offset)
+        if (!record.isOfCurrentEra) return false
         val hasStarted = ownEpoch != epoch || validFrom == null
-        newest = DutyRecord(own, epoch, offset)
+        newest = record
         nextOffset = offset + 1
         isLogKnown = true
         learnedAt = sentAt
         validFrom = sentAt
-        isStoreFailing = false
+        renewedAt = sentAt
         return hasStarted
     }
 
+    /** Records that the log was read at [now] in [readEra]: it holds [records] and ends at [end]. */
+    public fun onLogRead(records: List<DutyRecord>, end: Long, readEra: Long, now: ClockReading) {
+        isCallInFlight = false
+        isStoreFailing = false
+        if (readEra != era) return
+        lastAppendAt = null
+        nextOffset = end
+        val newestOfEra = records.lastOrNull { it.isOfCurrentEra }
+        if (newestOfEra != null) {
+            if (newestOfEra.epoch != ownEpoch) validFrom = null
+            newest = newestOfEra
+            learnedAt = now
+        }
+        if (newest == null) newest = records.lastOrNull()
+    }
+
     /**
      * Records that an append failed at [now] because the log ends at [end]; [missed] are the records from the offset of
      * that append. When all of them belong to the current epoch of this VM, they are its own appends whose responses
      * were lost, and the lease stays valid.
      */
     public fun onAppendConflict(missed: List<DutyRecord>, end: Long, now: ClockReading) {
-        isAppendInFlight = false
+        isCallInFlight = false
         isStoreFailing = false
+        if (nextOffset == null) return
         val areAllOwn = missed.isNotEmpty() && missed.all { it.holder == own && it.epoch == ownEpoch }
         if (!areAllOwn) {
             validFrom = null
@@ -176,18 +254,22 @@
         isLogKnown = true
     }
 
-    /** Records that an append got no response or was refused. */
-    public fun onAppendFailed() {
-        isAppendInFlight = false
+    /** Records that an append or a read got no response or was refused. */
+    public fun onCallFailed() {
+        isCallInFlight = false
         isStoreFailing = true
     }
 
     /** Stops sending orders until the next successful append. */
     public fun release() {
         validFrom = null
+        renewedAt = null
     }
 
     private companion object {
+        /** The era of a store that never came back from an older copy. */
+        const val FIRST_ERA = 1L
+
         /** Time to wait for a report of a holder before the first append, in milliseconds: two report intervals. */
         const val INITIAL_WAIT_MS = 600L
     }
--- a/serving/src/test/kotlin/io/daisybend/serving/duty/DutyLeaseTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/duty/DutyLeaseTest.kt
@@ -13,15 +13,29 @@
 
 private class PendingAppend(val vm: Int, val processNumber: Int, val record: DutyRecord, val sentAt: ClockReading)
 
-/** A log that accepts an append only at its end; [DutySchedule] delays and loses calls, and loses responses. */
+/**
+ * A log that accepts an append only at its end and may come back from an older copy; [DutySchedule] delays and loses
+ * calls, and loses responses.
+ */
 private class SimulatedLog {
-    val records = ArrayList<DutyRecord>()
+    private class Stored(val record: DutyRecord, val atMs: Long)
+
+    private val stored = ArrayList<Stored>()
+    var era = 1L
+        private set
+    val records: List<DutyRecord> get() = stored.map { it.record }
+    val end: Long get() = stored.size.toLong()
 
-    fun append(record: DutyRecord): Boolean {
-        if (record.offset != records.size.toLong()) return false
-        records.add(record)
+    fun append(record: DutyRecord, nowMs: Long): Boolean {
+        if (record.offset != end) return false
+        stored.add(Stored(record, nowMs))
         return true
     }
+
+    fun restoreCopyOf(copiedAtMs: Long) {
+        stored.removeIf { it.atMs > copiedAtMs }
+        era++
+    }
 }
 
 /** A VM whose wall clock may jump, and which may restart, stall, be suspended or lose its connections. */
@@ -49,7 +63,13 @@
  * Simulates VMs that take and hold the lease in one random schedule. Faults: restarts, stalls, suspensions, forward
  * jumps of the wall clock, cuts from the log or from the peers, lost and late appends, lost responses and lost reports.
  */
-private class DutySchedule(private val random: Random, settings: DutySettings) {
+private class DutySchedule(
+    private val random: Random,
+    settings: DutySettings,
+    private val restoresStore: Boolean = false,
+    /** A naive lease does not know that the store has eras. */
+    private val knowsEras: Boolean = true,
+) {
     private val vms = List(random.nextInt(2, 6)) { SimulatedVm(it, settings, 0) }
     private val log = SimulatedLog()
     private val events = ArrayList<Pair<Long, () -> Unit>>()
@@ -61,6 +81,7 @@
         while (nowMs < durationMs) {
             nowMs += STEP_MS
             if (random.nextInt(25) == 0) injectFault(vms.random(random))
+            if (restoresStore && random.nextInt(300) == 0) restoreStore()
             val due = events.filter { it.first <= nowMs }
             events.removeAll(due)
             due.forEach { it.second() }
@@ -70,6 +91,17 @@
         return orders
     }
 
+    /** The store is away for a moment and comes back from a copy some seconds old; not all VMs learn it at once. */
+    private fun restoreStore() {
+        val backAtMs = nowMs + random.nextLong(50, 3_000)
+        vms.forEach { it.storeCutUntilMs = maxOf(it.storeCutUntilMs, backAtMs) }
+        events.add(backAtMs to { log.restoreCopyOf(nowMs - random.nextLong(500, 12_000)) })
+    }
+
+    private fun learnEra(vm: SimulatedVm, era: Long) {
+        if (knowsEras) vm.lease.onStoreEra(era, vm.read(nowMs))
+    }
+
     private fun injectFault(vm: SimulatedVm) {
         val durationMs = random.nextLong(200, 9_000)
         when (random.nextInt(7)) {
@@ -88,16 +120,40 @@
 
     private fun step(vm: SimulatedVm) {
         val clock = vm.read(nowMs)
+        if (vm.storeCutUntilMs <= nowMs && random.nextInt(20) == 0) learnEra(vm, log.era)
         if (vm.lease.mayOrder(clock) &&
             random.nextInt(4) == 0
         ) {
             orders.add(SentOrder(nowMs, vm.index, vm.lease.ownEpoch!!))
         }
-        val next = vm.lease.nextStep(clock, rank = vm.index)
-        if (next !is DutyStep.Append) return
-        vm.lease.onAppendSent(clock)
-        val epoch = vm.lease.ownEpoch ?: (next.atOffset + 1)
-        send(PendingAppend(vm.index, vm.processNumber, DutyRecord(vm.holder, epoch, next.atOffset), clock))
+        when (val next = vm.lease.nextStep(clock, rank = vm.index)) {
+            DutyStep.Wait -> Unit
+            DutyStep.ReadLog -> readLog(vm)
+            is DutyStep.Append -> {
+                vm.lease.onAppendSent(next.atOffset, clock)
+                val record = DutyRecord(vm.holder, vm.lease.epochFor(next.atOffset), next.atOffset)
+                send(PendingAppend(vm.index, vm.processNumber, record, clock))
+            }
+        }
+    }
+
+    private fun readLog(vm: SimulatedVm) {
+        val sentAtMs = nowMs
+        val sentEra = log.era
+        vm.lease.onReadSent(vm.read(nowMs))
+        if (vm.storeCutUntilMs > nowMs || random.nextInt(8) == 0) {
+            return respond(vm, sentAtMs + 700) { vm.lease.onCallFailed() }
+        }
+        events.add(
+            nowMs + random.nextLong(2, 60) to {
+                val records = log.records
+                val era = log.era
+                respond(vm, nowMs + 2) {
+                    learnEra(vm, era)
+                    vm.lease.onLogRead(records, records.size.toLong(), sentEra, vm.read(nowMs))
+                }
+            },
+        )
     }
 
     private fun send(append: PendingAppend) {
@@ -110,41 +166,42 @@
         }
         val isResponseLost = isCut || random.nextInt(8) == 0
         if (takesEffectAtMs == null) {
-            respond(append, nowMs + 700) { vm.lease.onAppendFailed() }
+            respond(vm, nowMs + 700) { vm.lease.onCallFailed() }
             return
         }
         events.add(
             takesEffectAtMs to {
-                val isAppended = log.append(append.record)
-                val end = log.records.size.toLong()
+                val isAppended = log.append(append.record, nowMs)
+                val records = log.records
+                val era = log.era
                 if (!isResponseLost && takesEffectAtMs < append.sentAt.steadyMs + vm.suspendedMs + 700) {
-                    respond(append, nowMs + 2) { onResponse(append, isAppended, end) }
+                    respond(vm, append.processNumber, nowMs + 2) { onResponse(append, isAppended, records, era) }
                 }
             },
         )
-        if (isResponseLost || takesEffectAtMs > nowMs + 690) respond(append, nowMs + 700) { vm.lease.onAppendFailed() }
+        if (isResponseLost || takesEffectAtMs > nowMs + 690) respond(vm, nowMs + 700) { vm.lease.onCallFailed() }
     }
 
-    private fun onResponse(append: PendingAppend, isAppended: Boolean, end: Long) {
+    private fun onResponse(append: PendingAppend, isAppended: Boolean, records: List<DutyRecord>, era: Long) {
         val vm = vms[append.vm]
+        learnEra(vm, era)
         if (isAppended) {
             vm.lease.onAppended(append.sentAt, append.record.offset, append.record.epoch)
         } else {
-            vm.lease.onAppendConflict(
-                log.records.subList(append.record.offset.toInt(), end.toInt()).toList(),
-                end,
-                vm.read(nowMs),
-            )
+            val missed = records.drop(append.record.offset.toInt())
+            vm.lease.onAppendConflict(missed, records.size.toLong(), vm.read(nowMs))
         }
     }
 
     /** Delivers a response to the VM that sent the call once it is running, if its process is still the same. */
-    private fun respond(append: PendingAppend, atMs: Long, deliver: () -> Unit) {
-        val vm = vms[append.vm]
+    private fun respond(vm: SimulatedVm, atMs: Long, deliver: () -> Unit) =
+        respond(vm, vm.processNumber, atMs, deliver)
+
+    private fun respond(vm: SimulatedVm, processNumber: Int, atMs: Long, deliver: () -> Unit) {
         events.add(
             atMs to {
-                if (vm.processNumber == append.processNumber) {
-                    if (vm.stalledUntilMs > nowMs) respond(append, vm.stalledUntilMs, deliver) else deliver()
+                if (vm.processNumber == processNumber) {
+                    if (vm.stalledUntilMs > nowMs) respond(vm, processNumber, vm.stalledUntilMs, deliver) else deliver()
                 }
             },
         )
@@ -158,12 +215,10 @@
         val processNumber = peer.processNumber
         events.add(
             appendsAtMs to {
-                val isAppended = log.append(renewal)
-                if (isAppended &&
-                    peer.processNumber == processNumber &&
-                    peer.stalledUntilMs <= nowMs
-                ) {
-                    peer.lease.onPeerRecord(renewal, peer.read(nowMs))
+                val isAppended = log.append(renewal, nowMs)
+                if (peer.processNumber == processNumber && peer.stalledUntilMs <= nowMs) {
+                    learnEra(peer, log.era)
+                    if (isAppended) peer.lease.onPeerRecord(renewal, peer.read(nowMs))
                 }
             },
         )
@@ -201,13 +256,63 @@
         countViolations(DutySettings(handoverGapMs = 0, clockMarginMs = 0), seeds = 50) shouldBeGreaterThan 0
     }
 
+    fun countViolationsWithRestorations(seeds: Int, knowsEras: Boolean) = (0 until seeds).count { seed ->
+        val settings = DutySettings(handoverGapMs = HANDOVER_GAP_MS)
+        violatesHandover(DutySchedule(Random(seed), settings, restoresStore = true, knowsEras).simulate(60_000))
+    }
+
+    test("the handover gap holds and epochs increase in 3,000 runs in which the store comes back from older copies") {
+        countViolationsWithRestorations(seeds = 3_000, knowsEras = true) shouldBe 0
+    }
+
+    test("the same check detects a naive lease that does not know that the store has eras") {
+        countViolationsWithRestorations(seeds = 300, knowsEras = false) shouldBeGreaterThan 0
+    }
+
+    test("the holder goes on as soon as the store is back from an older copy, and a VM that just watched waits") {
+        val settings = DutySettings(handoverGapMs = HANDOVER_GAP_MS)
+        val own = DutyHolder("a", "10.0.0.1", 1)
+        fun at(nowMs: Long) = ClockReading(nowMs, nowMs)
+        val held = DutyRecord(own, DutyRecord.epochAt(era = 1, offset = 58), offset = 58)
+        val old = DutyRecord(DutyHolder("c", "10.0.0.3", 1), DutyRecord.epochAt(era = 1, offset = 3), offset = 40)
+        fun leaseAfterRestoration(vm: DutyHolder) = DutyLease(vm, settings, at(0)).apply {
+            onStoreEra(1, at(0))
+            if (vm == own) {
+                onAppendSent(held.offset, at(15_000))
+                onAppended(at(15_000), held.offset, held.epoch)
+            } else {
+                onPeerRecord(held, at(15_000))
+            }
+            onStoreEra(2, at(17_000))
+            nextStep(at(17_000), rank = 0) shouldBe DutyStep.ReadLog
+            onReadSent(at(17_000))
+            onLogRead(listOf(old), end = 41, readEra = 2, at(17_010))
+        }
+        val holder = leaseAfterRestoration(own)
+        holder.nextStep(at(17_010), rank = 0) shouldBe DutyStep.Append(41)
+        holder.epochFor(41) shouldBe DutyRecord.epochAt(era = 2, offset = 41)
+        val watcher = leaseAfterRestoration(DutyHolder("b", "10.0.0.2", 1))
+        watcher.nextStep(at(21_900), rank = 0) shouldBe DutyStep.Wait
+        watcher.nextStep(at(22_100), rank = 0) shouldBe DutyStep.Append(41)
+    }
+
+    test("an append of an earlier era that succeeds in a newer one gives no right to order") {
+        val lease = DutyLease(DutyHolder("a", "10.0.0.1", 1), DutySettings(), ClockReading(0, 0))
+        lease.onStoreEra(1, ClockReading(0, 0))
+        lease.onAppendSent(45, ClockReading(1_000, 1_000))
+        val epoch = lease.epochFor(45)
+        lease.onStoreEra(2, ClockReading(1_010, 1_010))
+        lease.onAppended(ClockReading(1_000, 1_000), offset = 45, epoch) shouldBe false
+        lease.mayOrder(ClockReading(1_010, 1_010)) shouldBe false
+    }
+
     test("a holder whose appends fail asks its peers no more often than the renewal interval") {
         val settings = DutySettings(handoverGapMs = HANDOVER_GAP_MS)
         val lease = DutyLease(DutyHolder("a", "10.0.0.1", 1), settings, ClockReading(0, 0))
-        lease.onAppendSent(ClockReading(1_000, 1_000))
+        lease.onAppendSent(0, ClockReading(1_000, 1_000))
         lease.onAppended(ClockReading(1_000, 1_000), offset = 0, epoch = 1)
-        lease.onAppendSent(ClockReading(1_500, 1_500))
-        lease.onAppendFailed()
+        lease.onAppendSent(1, ClockReading(1_500, 1_500))
+        lease.onCallFailed()
         var requestCount = 0
         for (nowMs in 1_500L..11_500L step 50) {
             val record = lease.renewalToDelegate(ClockReading(nowMs, nowMs)) ?: continue
@@ -225,7 +330,7 @@
         val now = ClockReading(1_000, 1_000)
         fun stepOf(own: DutyHolder): DutyStep {
             val lease = DutyLease(own, settings, start)
-            lease.onAppendSent(start)
+            lease.onAppendSent(0, start)
             lease.onAppendConflict(listOf(previous), end = 8, ClockReading(400, 400))
             return lease.nextStep(now, rank = 0)
         }
@@ -243,7 +348,7 @@
             val dueMs = 300 + lease.nextStepInMs(ClockReading(300, 300), rank)
             lease.nextStep(ClockReading(dueMs - 1, dueMs - 1), rank) shouldBe DutyStep.Wait
             lease.nextStep(ClockReading(dueMs, dueMs), rank) shouldBe DutyStep.Append(8)
-            lease.onAppendSent(ClockReading(dueMs, dueMs))
+            lease.onAppendSent(8, ClockReading(dueMs, dueMs))
             lease.onAppended(ClockReading(dueMs, dueMs), offset = 8, epoch = 9)
             val renewalMs = dueMs + lease.nextStepInMs(ClockReading(dueMs, dueMs), rank)
             lease.nextStep(ClockReading(renewalMs - 1, renewalMs - 1), rank) shouldBe DutyStep.Wait
@@ -259,8 +364,8 @@
             val clock = ClockReading(nowMs, nowMs)
             val step = lease.nextStep(clock, rank = 0)
             if (step is DutyStep.Append) {
-                lease.onAppendSent(clock)
-                lease.onAppended(clock, step.atOffset, lease.ownEpoch ?: (step.atOffset + 1))
+                lease.onAppendSent(step.atOffset, clock)
+                lease.onAppended(clock, step.atOffset, lease.epochFor(step.atOffset))
             }
             if (lease.mayOrder(clock)) heldMs += STEP_MS
         }
