Return a connection to the pool only once

What callers saw: with several calls to plain services at a time, a connection that ended without an answer or a 502, although the endpoint had answered.

Cause: relayWhole ends the exchange before it writes to the caller, and sendOnce ends it again in its finally block. The second call returned the connection to the pool once more, often while another request was using it, and then two requests wrote to one connection. Attempt ids kept their answers apart, so one or both were lost. Class: a resource released twice.

Ruled out: the pool's own lock; Ktor's channel, which is for one writer.

Change: an exchange ends once. The new test of EntryVmTest failed before (180 calls, six at a time: a body differs) and passes now, with no failed connection in the log. Streams ended once already.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -62,17 +62,27 @@
     private val writeJob: Job,
 ) {
     val body = BodyReader(connection.source, head.framing)
+    private var hasEnded = false
 
     /**
      * Ends the exchange; returns the connection to the pool if request and response are complete, otherwise closes it.
+     * Later calls have no effect: the connection may belong to another exchange by then.
      */
     fun finish() {
+        if (hasEnded) return
+        hasEnded = true
         val isReusable = body.isComplete && writeJob.isCompleted && !writeJob.isCancelled && head.keepAlive
-        if (isReusable) connectionPool.release(connection, head.keepAliveMs) else abort()
+        if (isReusable) connectionPool.release(connection, head.keepAliveMs) else close()
     }
 
     /** Ends the exchange by closing the connection, which makes the endpoint stop its work. */
     fun abort() {
+        if (hasEnded) return
+        hasEnded = true
+        close()
+    }
+
+    private fun close() {
         writeJob.cancel()
         connection.close()
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -15,6 +15,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
@@ -104,6 +105,19 @@
         }
     }
 
+    test("concurrent calls never share a kept connection") {
+        withSite {
+            configure()
+            repeat(30) { round ->
+                val bodies = List(6) { "call $round.$it" }
+                val responses = coroutineScope {
+                    bodies.map { async { connect().call("POST", "/once/x", it) } }.awaitAll()
+                }
+                responses.map { it.body.substringAfter(':') } shouldBe bodies
+            }
+        }
+    }
+
     test("a second response to one request is never used as the response to the next request") {
         withSite {
             configure()
