Keep what is known of endpoints over an older copy of their list

Cause: the offset of the list's log was used across eras, and the newest records of the older copy were applied like news. Endpoints that the copy lacked were removed at once, since the outage may be shorter than a poll; an endpoint that had left was listed again; a leaving one became ready again. Class: an older copy taken for news.

Change: in a new era the list is read anew. Entries of endpoints that are known, or that were removed lately, are left out of that first read; what is written after it counts as usual. An incarnation that is leaving stays so.

--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -1,10 +1,12 @@
 /*
  * Watches the platform's endpoint list. Entries are applied as the log grows; an unreadable entry is skipped and does
  * not affect others. Known endpoints stay while the store is unavailable; entries that are still missing some time
- * after it is available again are removed.
+ * after it is available again are removed. When the store comes back from an older copy, entries of that copy are used
+ * only for endpoints of which nothing newer is known.
  */
 package io.daisybend.entry.store
 
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import io.daisybend.entry.Activity
 import io.daisybend.entry.EventLog
@@ -16,6 +18,7 @@
 import io.daisybend.platform.readEndpoint
 import io.daisybend.platform.readKeyedRecord
 import io.daisybend.serving.endpoint.EndpointTable
+import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.site.ClockPair
 import io.daisybend.serving.site.ClockReading
 import io.daisybend.serving.stream.StreamOrigins
@@ -35,6 +38,10 @@
     private var lostAt: ClockReading? = null
     private var regainedAt: ClockReading? = null
     private val missingIds = HashSet<String>()
+    private var listEra: Long? = null
+
+    /** When endpoints were removed, in milliseconds of the monotonic clock. */
+    private val removedAtMs = HashMap<Incarnation, Long>()
 
     /** Whether the list was read at least once. */
     @Volatile
@@ -83,8 +90,9 @@
 
     private suspend fun readSnapshot(): StoreFailure? {
         val newest = store.readNewest(StoreTopic.ENDPOINTS, RESPONSE_TIMEOUT_MS).getOrElse { return it }
+        val isOlderCopy = followEra()
         val records = newest.records
-        applyRecords(records)
+        applyRecords(if (isOlderCopy) records.filterNot(::isKnownBetter) else records)
         val listed = records.filter { it.value != null }.mapTo(HashSet()) { it.key }
         table.all().map { it.incarnation.id }.filter { it !in listed }.forEach(::onMissing)
         nextOffset = newest.nextOffset
@@ -92,13 +100,30 @@
         return null
     }
 
+    /** Returns whether the store has come back from an older copy since the last read of the list. */
+    private fun followEra(): Boolean {
+        val era = store.era
+        val isOlderCopy = listEra != null && era != listEra
+        listEra = era
+        if (isOlderCopy) {
+            log.write("endpoint-list-restored", "era" to era)
+            regainedAt = clocks.read()
+        }
+        return isOlderCopy
+    }
+
+    /** Whether the endpoint of [record], read from an older copy, is known already or has left since. */
+    private fun isKnownBetter(record: KeyedRecord): Boolean {
+        val entry = record.value?.let { readEndpoint(record.key, it).get() } ?: return false
+        val known = table.find(record.key)?.incarnation
+        return known == entry.incarnation || entry.incarnation in removedAtMs
+    }
+
     private suspend fun readUpdates(from: Long): StoreFailure? {
-        val read = store.read(
-            StoreTopic.ENDPOINTS,
-            from,
-            waitMs = 0,
-            timeoutMs = RESPONSE_TIMEOUT_MS,
-        ).getOrElse { failure ->
+        val result = store.read(StoreTopic.ENDPOINTS, from, waitMs = 0, timeoutMs = RESPONSE_TIMEOUT_MS)
+        // The offset is void in another era; what the older copy lacks is written after it again.
+        if (store.era != listEra) return readSnapshot()
+        val read = result.getOrElse { failure ->
             return if (failure is StoreFailure.RecordsGone) readSnapshot() else failure
         }
         load.countBytes(Activity.READ_ENDPOINTS, read.records.sumOf { it.size })
@@ -142,7 +167,10 @@
     }
 
     private fun remove(id: String) {
-        if (table.find(id) == null) return
+        val removed = table.find(id) ?: return
+        val now = clocks.read().steadyMs
+        removedAtMs.values.removeIf { now - it > REMOVAL_MEMORY_MS }
+        removedAtMs[removed.incarnation] = now
         table.remove(id)
         log.write("endpoint-gone", "endpoint" to id)
         onChange()
@@ -158,6 +186,9 @@
         /** Timeout for a response, in milliseconds: many times the store's usual response time. */
         const val RESPONSE_TIMEOUT_MS = 700L
 
+        /** How long removed endpoints are remembered, in milliseconds: the age of a copy from which the store returns. */
+        const val REMOVAL_MEMORY_MS = 60_000L
+
         /**
          * Time after the store is available again in which expired entries may come back, in milliseconds; set by the
          * platform.
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -51,6 +51,9 @@
     /** Ends the process of the endpoint; called when it begins to answer a prompt with [DEADLY_PART]. */
     var crash: () -> Unit = {}
 
+    /** Writes the entry of the endpoint to the list, as its heartbeats do. */
+    var register: () -> Unit = {}
+
     /** The limit of requests that responses name, or null. */
     @Volatile
     var namedLimit: String? = null
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -129,11 +129,13 @@
         val storePort = FakeServer(scope, store::handle).start(selector).port
         endpoints.forEach { endpoint ->
             val server = FakeServer(scope, endpoint::handle).start(selector)
-            register(endpoint, server.port, bornMs = 1)
             var starts = 1
+            endpoint.register = { register(endpoint, server.port, bornMs = starts) }
+            endpoint.register()
             endpoint.crash = {
                 server.crash(DOWN_MS)
-                register(endpoint, server.port, bornMs = ++starts)
+                starts++
+                endpoint.register()
             }
         }
         val settings = """
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
@@ -75,7 +75,10 @@
     /** Returns the endpoint called [id], or null. */
     public fun find(id: String): Endpoint? = synchronized(lock) { endpoints[id] }
 
-    /** Stores [entry], read from the platform's list at [nowMs]; ignores entries of an earlier incarnation. */
+    /**
+     * Stores [entry], read from the platform's list at [nowMs]; ignores entries of an earlier incarnation. An incarnation
+     * that is leaving stays so, although an older copy of the list may show it as ready.
+     */
     public fun put(entry: EndpointEntry, nowMs: Long): Unit = synchronized(lock) {
         val id = entry.incarnation.id
         val known = endpoints[id]
@@ -84,7 +87,7 @@
             return
         }
         if (known.incarnation.bornMs > entry.incarnation.bornMs) return
-        known.entry = entry
+        known.entry = entry.copy(isDraining = entry.isDraining || known.entry.isDraining)
         if (nowMs >= known.announcedUntilMs) known.holdings = entry.holdings
     }
 
