Register a VM again after the store lost its registration

What callers would see: VMs that start after a restoration don't know a VM whose registration was lost until that one reports itself, and only then do they share rates with it; found by reading, no play showed it.

Cause: a VM registered once and took the record as kept for ever. Class: "already written" outlives the store's memory.

The endpoint list uses the same follower now.

Evidence: the new test of RestoredStoreTest fails on the code before (no record within 5 s) and passes now.

--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -38,7 +38,7 @@
     private var lostAt: ClockReading? = null
     private var regainedAt: ClockReading? = null
     private val missingIds = HashSet<String>()
-    private var listEra: Long? = null
+    private val era = StoreEraFollower(store)
 
     /** When endpoints were removed, in milliseconds of the monotonic clock. */
     private val removedAtMs = HashMap<Incarnation, Long>()
@@ -102,14 +102,10 @@
 
     /** Returns whether the store has come back from an older copy since the last read of the list. */
     private fun followEra(): Boolean {
-        val era = store.era
-        val isOlderCopy = listEra != null && era != listEra
-        listEra = era
-        if (isOlderCopy) {
-            log.write("endpoint-list-restored", "era" to era)
-            regainedAt = clocks.read()
-        }
-        return isOlderCopy
+        if (!era.follow()) return false
+        log.write("endpoint-list-restored", "era" to store.era)
+        regainedAt = clocks.read()
+        return true
     }
 
     /** Whether the endpoint of [record], read from an older copy, is known already or has left since. */
@@ -122,7 +118,7 @@
     private suspend fun readUpdates(from: Long): StoreFailure? {
         val result = store.read(StoreTopic.ENDPOINTS, from, waitMs = 0, timeoutMs = RESPONSE_TIMEOUT_MS)
         // The offset is void in another era; what the older copy lacks is written after it again.
-        if (store.era != listEra) return readSnapshot()
+        if (era.hasChanged()) return readSnapshot()
         val read = result.getOrElse { failure ->
             return if (failure is StoreFailure.RecordsGone) readSnapshot() else failure
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
@@ -1,6 +1,7 @@
 /*
  * Discovery of VMs: each VM writes its address to the store at its start and reads the addresses of the others, then
- * and at a long interval. All other information is exchanged in peer reports.
+ * and at a long interval. All other information is exchanged in peer reports. A store that comes back from an older copy
+ * may have lost the record, so the VM writes it again.
  */
 package io.daisybend.entry.store
 
@@ -12,6 +13,7 @@
 import io.daisybend.platform.StoreTopic
 import io.daisybend.platform.writeKeyedRecord
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Registers this VM and discovers the others. */
 internal class VmRegistry(
@@ -22,6 +24,8 @@
     private val ownAddress: SocketAddress,
     private val nowMs: () -> Long,
 ) {
+    private val era = StoreEraFollower(store)
+
     /** Records already applied by VM; an unchanged record of a removed VM must not add it again. */
     private val appliedRecords = HashMap<String, String>()
 
@@ -29,9 +33,10 @@
     suspend fun run() {
         var isRegistered = false
         while (true) {
-            if (!isRegistered) isRegistered = register()
+            if (era.follow() || !isRegistered) isRegistered = register()
             val hasReadOthers = readOthers()
-            delay(if (isRegistered && hasReadOthers) POLL_INTERVAL_MS else RETRY_INTERVAL_MS)
+            val delayMs = if (isRegistered && hasReadOthers) POLL_INTERVAL_MS else RETRY_INTERVAL_MS
+            withTimeoutOrNull(delayMs) { while (!era.hasChanged()) delay(RETRY_INTERVAL_MS) }
         }
     }
 
--- a/entry/src/test/kotlin/io/daisybend/entry/RestoredStoreTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RestoredStoreTest.kt
@@ -13,6 +13,7 @@
 
 private const val DUTY_TOPIC = "daisybend.duty"
 private const val ENDPOINTS_TOPIC = "keyed.servers"
+private const val VMS_TOPIC = "keyed.vms"
 
 /** Returns whether a request that the other endpoint rejects reaches [endpoint]. */
 private suspend fun Site.isUsed(endpoint: FakeEndpoint): Boolean {
@@ -69,4 +70,13 @@
             eventually(5.seconds) { isUsed(endpoints[1]) shouldBe true }
         }
     }
+
+    test("a VM registers again after the store lost its registration") {
+        withSite {
+            configure()
+            eventually(5.seconds) { store.endOf(VMS_TOPIC) shouldBeGreaterThan 0 }
+            store.restore(store.copy() - VMS_TOPIC)
+            eventually(5.seconds) { store.endOf(VMS_TOPIC) shouldBeGreaterThan 0 }
+        }
+    }
 })
