Write the evidence of quarantines again that the store lost

What callers would see: a VM that starts after a restoration does not know a quarantine, and lets prompts through that end engines; found by reading.

Cause: the keeper remembers which ends are in the store and writes each once; evidence that was deleted would also be back in an older copy. Class: "already written" outlives the store's memory, as for registrations.

Change: after a restoration the keeper forgets what is kept, reads it, writes what is missing, and deletes what is there once no quarantine is in force.

Evidence: the new test of RestoredStoreTest fails on the code before (nothing written within 5 s) and passes now. The deletion has no test of its own.

--- a/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
@@ -38,6 +38,7 @@
     private val log: EventLog,
     private val arePeersMissing: () -> Boolean,
 ) {
+    private val era = StoreEraFollower(store)
     private val changed = Channel<Unit>(Channel.CONFLATED)
 
     /** Engines whose ends are kept in the store. */
@@ -57,6 +58,7 @@
             return
         }
         isLoaded = true
+        era.follow()
         val newEnds = newest.records.mapNotNull(::decode).filter { keptEngines.add(it.engine) }
         if (newEnds.isEmpty()) return
         log.write("quarantines-read", "engines" to newEnds.map { it.engine.id })
@@ -78,6 +80,7 @@
     suspend fun run() {
         while (true) {
             withTimeoutOrNull(POLL_INTERVAL_MS) { changed.receive() }
+            if (era.hasChanged()) forgetKept()
             if (!isLoaded || arePeersMissing()) load()
             if (!writeNewEnds() || !deleteReleased()) {
                 keepSoon()
@@ -86,6 +89,16 @@
         }
     }
 
+    /**
+     * Forgets what the store keeps, since it came back from an older copy: evidence may be missing, and deleted evidence
+     * may be back.
+     */
+    private fun forgetKept() {
+        keptEngines.clear()
+        isLoaded = false
+        wasQuarantining = true
+    }
+
     private suspend fun writeNewEnds(): Boolean {
         val now = clocks.read()
         return quarantine.ownQuarantinedEnds(now.steadyMs).filter { it.engine !in keptEngines }.all { end ->
--- a/entry/src/test/kotlin/io/daisybend/entry/RestoredStoreTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RestoredStoreTest.kt
@@ -3,6 +3,7 @@
 import io.daisybend.entry.standin.Behaviour
 import io.daisybend.entry.standin.FakeEndpoint
 import io.daisybend.entry.standin.Site
+import io.daisybend.entry.standin.TestCaller
 import io.daisybend.entry.standin.withSite
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
@@ -14,6 +15,7 @@
 private const val DUTY_TOPIC = "daisybend.duty"
 private const val ENDPOINTS_TOPIC = "keyed.servers"
 private const val VMS_TOPIC = "keyed.vms"
+private const val ENDS_TOPIC = "keyed.ends"
 
 /** Returns whether a request that the other endpoint rejects reaches [endpoint]. */
 private suspend fun Site.isUsed(endpoint: FakeEndpoint): Boolean {
@@ -79,4 +81,18 @@
             eventually(5.seconds) { store.endOf(VMS_TOPIC) shouldBeGreaterThan 0 }
         }
     }
+
+    test("evidence of a quarantine that the store lost is written again") {
+        withSite {
+            configure()
+            val older = store.copy()
+            eventually(20.seconds) {
+                connect().runCatching { prompt("dead:100,own-${TestCaller.nextId()}:10") }
+                delay(400)
+                store.endOf(ENDS_TOPIC) shouldBeGreaterThan 0
+            }
+            store.restore(older)
+            eventually(5.seconds) { store.endOf(ENDS_TOPIC) shouldBeGreaterThan 0 }
+        }
+    }
 })
