Serve with no older configuration than the peers have after a restoration

What callers would see: a VM that starts after the store came back from an older copy, and before the operators' lost versions are written again, accepts withdrawn keys and knows no new routes; and a VM whose offset was given out again misses a version.

Cause: the offset of the operators' log was used across eras, and the newest record of the store was taken for the newest configuration. Class: an offset, and an answer, taken for more than they say.

Change: in a new era the newest records are read anew; a version still never goes back. A VM whose version the store lacks reports it. A VM that learns of a newer version counts its own as unconfirmed: it is not ready, refuses keys and denies no route until it has that version. A VM that starts in a later era waits up to 600 ms for the first report of a peer before it reads the configuration. Reports carry the field only while the store lacks a version, so builds before this one can read all others.

Evidence: the test of a regrown log fails on the code before (the version is not in force after 5 s). The two tests with reports cannot compile there.

What remains: if all VMs start after a restoration, nobody knows the newer version until it is written again.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -59,10 +59,12 @@
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 
@@ -177,6 +179,7 @@
         ::steadyMs,
     )
     private val sequence = AtomicLong()
+    private val firstReport = CompletableDeferred<Unit>()
     private val isRenewing = AtomicBoolean()
     private lateinit var scope: CoroutineScope
     private var callerSocket: ServerSocket? = null
@@ -205,6 +208,8 @@
         scope.launch {
             // Requests are admitted once a configuration is known, and by then the quarantines should be.
             quarantineKeeper.load()
+            // Peers may have a newer configuration than a store that came back from an older copy.
+            if ((store.era ?: 0) > FIRST_STORE_ERA) withTimeoutOrNull(FIRST_REPORT_TIMEOUT_MS) { firstReport.await() }
             configuration.run()
         }
         scope.launch { quarantineKeeper.run() }
@@ -380,6 +385,7 @@
                 ReportPurpose.COMPLETE -> streamOrigins.reportAll(now.steadyMs)
                 ReportPurpose.DEMAND -> emptyList()
             }.toStreamReports(),
+            versionAheadOfStore = configuration.versionAheadOfStore,
         )
     }
 
@@ -416,6 +422,8 @@
         )
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
+        report.versionAheadOfStore?.let(configuration::onPeerAhead)
+        firstReport.complete(Unit)
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
@@ -440,6 +448,12 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
 
+        /** The era of a store that never came back from an older copy. */
+        const val FIRST_STORE_ERA = 1L
+
+        /** How long a VM that starts waits for the first report of a peer, in milliseconds: two report intervals. */
+        const val FIRST_REPORT_TIMEOUT_MS = 600L
+
         /** Maximum number of connections that wait to be accepted. */
         const val BACKLOG = 512
 
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -141,6 +141,8 @@
     val prompts: PromptEvidenceReport = PromptEvidenceReport(),
     val limits: List<EndpointLimitReport> = emptyList(),
     val streams: List<StreamOriginReport> = emptyList(),
+    /** The sender's version of the configuration, while the store has only an older one. */
+    val versionAheadOfStore: Long? = null,
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
@@ -2,7 +2,8 @@
  * Watches the operators' configuration in the store with long polls at the end of the log, so that a new version takes
  * effect one response after it was accepted. Each response also confirms that no newer version existed when the call
  * was sent; a response without records after the whole wait confirms it until the end of the wait. An older version
- * never replaces a newer one.
+ * never replaces a newer one. A store that comes back from an older copy may have an older version for a while; the VMs
+ * that have a newer one report it, and a VM that has started since confirms nothing older.
  */
 package io.daisybend.entry.store
 
@@ -37,9 +38,31 @@
 
     private var nextOffset: Long? = null
     private var isConnected = true
+    private val era = StoreEraFollower(store)
+
+    /** The newest version that was read in the current era of the store. */
+    @Volatile
+    private var storeVersion = Long.MIN_VALUE
+
+    /** The newest version that a peer reported because the store lacks it. */
+    @Volatile
+    private var peerVersion = Long.MIN_VALUE
+
+    private val ownVersion: Long get() = table?.configuration?.version ?: Long.MIN_VALUE
+
+    /** The version in force if the store lacks it, or null. */
+    val versionAheadOfStore: Long? get() = ownVersion.takeIf { storeVersion < it }
+
+    /** Applies the [version] that a peer has and the store lacks; this VM must not serve with an older one. */
+    fun onPeerAhead(version: Long) {
+        if (version <= maxOf(peerVersion, ownVersion)) return
+        peerVersion = version
+        log.write("configuration-newer-at-peer", "version" to version, "own" to table?.configuration?.version)
+    }
 
     /** Returns the time since the configuration was last confirmed to be the newest, in milliseconds. */
-    fun confirmationAgeMs(): Long = confirmedAt?.let { clocks.read().ageOf(it) } ?: Long.MAX_VALUE
+    fun confirmationAgeMs(): Long =
+        confirmedAt?.takeIf { ownVersion >= peerVersion }?.let { clocks.read().ageOf(it) } ?: Long.MAX_VALUE
 
     /** Watches the store until the coroutine is cancelled. */
     suspend fun run() {
@@ -62,13 +85,20 @@
 
     private suspend fun readSnapshot(): StoreFailure? {
         val newest = store.readNewest(StoreTopic.OPERATOR, RESPONSE_TIMEOUT_MS).getOrElse { return it }
+        if (era.follow()) {
+            storeVersion = Long.MIN_VALUE
+            log.write("configuration-store-restored", "era" to store.era)
+        }
         newest.records.forEach(::applyRecord)
         nextOffset = newest.nextOffset
         return null
     }
 
     private suspend fun readUpdates(from: Long): StoreFailure? {
-        val read = store.read(StoreTopic.OPERATOR, from, LONG_POLL_MS, RESPONSE_TIMEOUT_MS).getOrElse { failure ->
+        val result = store.read(StoreTopic.OPERATOR, from, LONG_POLL_MS, RESPONSE_TIMEOUT_MS)
+        // The offset is void in another era, and the records before it may have changed.
+        if (era.hasChanged()) return readSnapshot()
+        val read = result.getOrElse { failure ->
             if (failure !is StoreFailure.RecordsGone) return failure
             log.write("configuration-records-gone", "from" to from, "first" to failure.first)
             return readSnapshot()
@@ -85,7 +115,8 @@
             log.write("configuration-unreadable", "reason" to it.message)
             return
         }
-        val current = table?.configuration?.version ?: Long.MIN_VALUE
+        storeVersion = maxOf(storeVersion, configuration.version)
+        val current = ownVersion
         if (configuration.version <= current) return
         val newTable = RouteTable(configuration)
         table = newTable
