Read the configuration anew after each lost contact with the store

After a failed read the watcher now takes the newest records first. One more read of the newest records for each outage of a VM.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
@@ -202,7 +202,9 @@
                 freshness,
                 configuration.confirmationAgeMs(),
                 Random.nextDouble(),
-                isBoundTo = { service -> caller.resumedAttemptId?.let { endpointPool.hasBegunAt(it, service) } == true },
+                isBoundTo = { service ->
+                    caller.resumedAttemptId?.let { endpointPool.hasBegunAt(it, service) } == true
+                },
             )
             .andThen { admission -> chargeRate(admission, caller) }
             .getOrElse { return refuse(connection, it, attemptId) }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/StreamBinding.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/StreamBinding.kt
@@ -1,6 +1,6 @@
 /*
- * Binds the stream of one request to the version of the engines' software that began it, in this answer or in an earlier
- * one that the caller takes up.
+ * Binds the stream of one request to the version of the engines' software that began it, in this answer or in an
+ * earlier one that the caller takes up.
  */
 package io.daisybend.entry.exchange
 
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
@@ -78,6 +78,8 @@
             } else {
                 if (isConnected) log.write("configuration-store-lost", "reason" to failure.message)
                 isConnected = false
+                // The store may come back from an older copy, and a long poll would hide that while it waits.
+                nextOffset = null
                 delay(RETRY_INTERVAL_MS)
             }
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -182,7 +182,7 @@
         /** Timeout for a response, in milliseconds: many times the store's usual response time. */
         const val RESPONSE_TIMEOUT_MS = 700L
 
-        /** How long removed endpoints are remembered, in milliseconds: the age of a copy from which the store returns. */
+        /** How long removed endpoints are remembered, in milliseconds: longer than the copy of the store is old. */
         const val REMOVAL_MEMORY_MS = 60_000L
 
         /**
--- a/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Forgets what the store keeps, since it came back from an older copy: evidence may be missing, and deleted evidence
-     * may be back.
+     * Forgets what the store keeps, since it came back from an older copy: evidence may be missing, and deleted
+     * evidence may be back.
      */
     private fun forgetKept() {
         keptEngines.clear()
--- a/entry/src/main/kotlin/io/daisybend/entry/store/StoreEraFollower.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/StoreEraFollower.kt
@@ -3,8 +3,8 @@
 import io.daisybend.platform.StoreClient
 
 /**
- * Tells a user of [store] once for each time that the store has come back from an older copy: what the user remembers of
- * offsets and of its own writes is void then. Used by one coroutine.
+ * Tells a user of [store] once for each time that the store has come back from an older copy: what the user remembers
+ * of offsets and of its own writes is void then. Used by one coroutine.
  */
 internal class StoreEraFollower(private val store: StoreClient) {
     private var followedEra: Long? = null
--- a/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
@@ -1,7 +1,7 @@
 /*
  * Discovery of VMs: each VM writes its address to the store at its start and reads the addresses of the others, then
- * and at a long interval. All other information is exchanged in peer reports. A store that comes back from an older copy
- * may have lost the record, so the VM writes it again.
+ * and at a long interval. All other information is exchanged in peer reports. A store that comes back from an older
+ * copy may have lost the record, so the VM writes it again.
  */
 package io.daisybend.entry.store
 
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
@@ -64,7 +64,11 @@
                 200 to log.size - 1
             }
         }
-        respond(call, status, """{"offset":$offset,"end":${offset + if (status == 200) 1 else 0}}""".encodeToByteArray())
+        respond(
+            call,
+            status,
+            """{"offset":$offset,"end":${offset + if (status == 200) 1 else 0}}""".encodeToByteArray(),
+        )
     }
 
     private suspend fun read(call: FakeServerCall, topic: String, from: Int, waitMs: Long) {
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -133,7 +133,8 @@
     public fun renewalToDelegate(now: ClockReading): DutyRecord? {
         val held = newest?.takeIf { it.holder == own && it.isOfCurrentEra && isStoreFailing } ?: return null
         val offset = nextOffset ?: return null
-        if (now.ageOf(validFrom ?: return null) < settings.renewalIntervalMs) return null
+        val isDue = validFrom?.let { now.ageOf(it) >= settings.renewalIntervalMs } ?: false
+        if (!isDue) return null
         recordAttempt(offset, now)
         return DutyRecord(own, held.epoch, offset)
     }
@@ -157,9 +158,8 @@
         val sinceAppendMs = lastAppendAt?.let { now.ageOf(it) } ?: Long.MAX_VALUE
         if (sinceAppendMs < settings.renewalIntervalMs) return DutyStep.Wait
         val offset = nextOffset ?: return DutyStep.ReadLog
-        if (isHolder(now)) return DutyStep.Append(offset)
-        val sinceLearnedMs = now.steadyMs - learnedAt.steadyMs
-        return if (sinceLearnedMs >= requiredQuietMs(rank)) DutyStep.Append(offset) else DutyStep.Wait
+        val isQuietLongEnough = now.steadyMs - learnedAt.steadyMs >= requiredQuietMs(rank)
+        return if (isHolder(now) || isQuietLongEnough) DutyStep.Append(offset) else DutyStep.Wait
     }
 
     /**
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
@@ -76,8 +76,8 @@
     public fun find(id: String): Endpoint? = synchronized(lock) { endpoints[id] }
 
     /**
-     * Stores [entry], read from the platform's list at [nowMs]; ignores entries of an earlier incarnation. An incarnation
-     * that is leaving stays so, although an older copy of the list may show it as ready.
+     * Stores [entry], read from the platform's list at [nowMs]; ignores entries of an earlier incarnation. One that is
+     * leaving stays so, although an older copy of the list may show it as ready.
      */
     public fun put(entry: EndpointEntry, nowMs: Long): Unit = synchronized(lock) {
         val id = entry.incarnation.id
--- a/serving/src/main/kotlin/io/daisybend/serving/stream/StreamOrigins.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/stream/StreamOrigins.kt
@@ -2,11 +2,11 @@
  * Remembers which version of an engine's software began each resumable stream. Versions write streams that do not fit
  * together, so a stream goes on only at the version that began it, whichever VM the caller comes back to.
  *
- * While all engines of a service have one version, there is nothing to tell the peers. Once a second version is listed,
- * each VM reports the streams that it began. A stream of unknown origin goes on only if no second version can have begun
- * it: the list of endpoints was read lately and no other version has been seen for as long as a stream may last. A VM
- * that has just started waits for the reports of its peers, which may have seen another one. A VM begins no stream at a
- * new version until every VM whose list counts as recent has read of that version.
+ * While all engines of a service have one version, there is nothing to tell the peers. Once a second version is
+ * listed, each VM reports the streams that it began. A stream of unknown origin goes on only if no second version can
+ * have begun it: the list of endpoints was read lately, and no other version has been seen for as long as a stream may
+ * last. A VM that has just started waits for the reports of its peers, which may have seen another one. A VM begins no
+ * stream at a new version until every VM whose list counts as recent has read of that version.
  */
 package io.daisybend.serving.stream
 
@@ -44,8 +44,8 @@
 )
 
 /**
- * The origins of streams; [hasPeers] tells whether there are other VMs, and [requestEarlyReport] is called when a caller
- * may come back before the next report.
+ * The origins of streams; [hasPeers] tells whether there are other VMs, and [requestEarlyReport] is called when a
+ * caller may come back before the next report.
  */
 public class StreamOrigins(
     private val settings: StreamOriginSettings = StreamOriginSettings(),
@@ -98,7 +98,8 @@
     /** Requests an early report if the answer to [stream] at [service] was interrupted and no peer knows its origin. */
     public fun onInterrupted(stream: String, service: String) {
         val isUnreported = synchronized(lock) {
-            hasSeveralVersions(service) && streams[hashOf(stream, service)]?.let { it.isOwn && it.reportCount == 0 } == true
+            hasSeveralVersions(service) &&
+                streams[hashOf(stream, service)]?.let { it.isOwn && it.reportCount == 0 } == true
         }
         if (isUnreported) requestEarlyReport()
     }
@@ -112,8 +113,9 @@
             val known = stream?.let { streams[hashOf(it, service)] }
             when {
                 known != null -> Continuation.AtVersion(known.origin.version)
-                !isInformed(nowMs) || hasSeveralVersions(service) || listAgeMs > settings.maxListAgeMs -> Continuation.Unknown
-                else -> Continuation.Anywhere
+                hasSeveralVersions(service) || listAgeMs > settings.maxListAgeMs -> Continuation.Unknown
+                isInformed(nowMs) -> Continuation.Anywhere
+                else -> Continuation.Unknown
             }
         }
 
--- a/serving/src/test/kotlin/io/daisybend/serving/stream/StreamOriginsTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/stream/StreamOriginsTest.kt
@@ -80,7 +80,9 @@
                 vm.streams.removeIf { it.endsAtMs <= nowMs }
             }
             repeat(settings.vmCount / 30 + 1) { begin(vms.random(random)) }
-            retries.filter { it.first <= nowMs }.also(retries::removeAll).forEach { takeUp(it.second, vms.random(random)) }
+            val due = retries.filter { it.first <= nowMs }
+            retries.removeAll(due)
+            due.forEach { (_, stream) -> takeUp(stream, vms.random(random)) }
         }
         return this
     }
@@ -206,7 +208,7 @@
         }
     }
 
-    test("while all engines have one version, streams go on anywhere once peers have reported, and nothing is reported") {
+    test("while all engines have one version, streams go on anywhere after the start, and nothing is reported") {
         val origins = StreamOrigins()
         origins.onListed(mapOf(SERVICE to setOf(SoftwareVersion("v1"))), nowMs = 0)
         origins.onBegun("s", SERVICE, SoftwareVersion("v1"), nowMs = 10)
