--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -40,6 +40,7 @@
 import io.daisybend.serving.attempt.RetryBudgetSettings
 import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutySettings
+import io.daisybend.serving.duty.FIRST_STORE_ERA
 import io.daisybend.serving.endpoint.EndpointChooser
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
@@ -448,9 +449,6 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
 
-        /** The era of a store that never came back from an older copy. */
-        const val FIRST_STORE_ERA = 1L
-
         /** How long a VM that starts waits for the first report of a peer, in milliseconds: two report intervals. */
         const val FIRST_REPORT_TIMEOUT_MS = 600L
 
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -92,7 +92,7 @@
         if (known != null && newEra <= known) return false
         era = newEra
         // In the first era the log has all records; in a later one a VM that starts does not know who may still order.
-        if (known == null && newEra <= FIRST_ERA) return false
+        if (known == null && newEra <= FIRST_STORE_ERA) return false
         nextOffset = null
         attemptedOffset = -1
         lastAppendAt = null
@@ -267,9 +267,6 @@
     }
 
     private companion object {
-        /** The era of a store that never came back from an older copy. */
-        const val FIRST_ERA = 1L
-
         /** Time to wait for a report of a holder before the first append, in milliseconds: two report intervals. */
         const val INITIAL_WAIT_MS = 600L
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyRecord.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyRecord.kt
@@ -4,6 +4,9 @@
  */
 package io.daisybend.serving.duty
 
+/** The era of a store that never came back from an older copy. */
+public const val FIRST_STORE_ERA: Long = 1
+
 /** A record of the lease at [offset] of the log; [epoch] increases with each change of the holder. */
 public data class DutyRecord(val holder: DutyHolder, val epoch: Long, val offset: Long) {
     /** The era of the store in which the holder took the duty. */
