Keep the epochs of the first era as builds before this one write them

What engines would see in a rolling upgrade: a lower fencing token after a higher one, when a VM of an older build takes the duty from one of this build.

The new test of DutyLeaseTest compares with offset + 1, which older builds write.

What remains: after a restoration, VMs of older builds don't know the era; their epochs fall, as they did before.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -210,7 +210,8 @@
             // Requests are admitted once a configuration is known, and by then the quarantines should be.
             quarantineKeeper.load()
             // Peers may have a newer configuration than a store that came back from an older copy.
-            if ((store.era ?: 0) > FIRST_STORE_ERA) withTimeoutOrNull(FIRST_REPORT_TIMEOUT_MS) { firstReport.await() }
+            val isRestored = store.era?.let { it > FIRST_STORE_ERA } ?: false
+            if (isRestored) withTimeoutOrNull(FIRST_REPORT_TIMEOUT_MS) { firstReport.await() }
             configuration.run()
         }
         scope.launch { quarantineKeeper.run() }
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -81,7 +81,8 @@
 
     /** Returns the epoch of the record that this VM appends at [offset]. */
     public fun epochFor(offset: Long): Long =
-        newest?.takeIf { it.holder == own && it.isOfCurrentEra }?.epoch ?: DutyRecord.epochAt(era ?: 0, offset)
+        newest?.takeIf { it.holder == own && it.isOfCurrentEra }?.epoch
+            ?: DutyRecord.epochAt(era ?: FIRST_STORE_ERA, offset)
 
     /**
      * Applies the [newEra] of the store, learned at [now]; has no effect unless it is newer than the known one. Returns
--- a/serving/src/test/kotlin/io/daisybend/serving/duty/DutyLeaseTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/duty/DutyLeaseTest.kt
@@ -3,6 +3,7 @@
 import io.daisybend.serving.site.ClockReading
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
 
@@ -296,6 +297,15 @@
         watcher.nextStep(at(22_100), rank = 0) shouldBe DutyStep.Append(41)
     }
 
+    test("epochs of the first era are those of builds that know no eras, and epochs of later eras are higher") {
+        DutyRecord.epochAt(FIRST_STORE_ERA, offset = 7) shouldBe 8
+        val holder = DutyHolder("a", "10.0.0.1", 1)
+        DutyRecord(holder, epoch = 8, offset = 7).era shouldBe FIRST_STORE_ERA
+        val next = DutyRecord(holder, DutyRecord.epochAt(FIRST_STORE_ERA + 1, offset = 0), offset = 0)
+        next.era shouldBe FIRST_STORE_ERA + 1
+        next.epoch shouldBeGreaterThan DutyRecord.epochAt(FIRST_STORE_ERA, offset = 4_000_000_000)
+    }
+
     test("an append of an earlier era that succeeds in a newer one gives no right to order") {
         val lease = DutyLease(DutyHolder("a", "10.0.0.1", 1), DutySettings(), ClockReading(0, 0))
         lease.onStoreEra(1, ClockReading(0, 0))
