Close the selectors of a VM and of a test site with their scope

Cause: each selector occupies a thread of the dispatcher for I/O (64 threads), and nothing closed those of test sites that had ended. After some 32 sites in one JVM each call took 200 to 300 ms: OddEntryTest and "endpoints that name a limit" of EntryVmTest failed in the first run with two more test classes, while timers were 0 to 1 ms late, so the processor was not the cause.

Ruled out: load of the machine (timerLateMs in the log of the run).

Change: a VM's selector ends with the scope that it was started in, a site's too. A site asks a server for its port once: a server that is down has none, so an endpoint that crashed was never registered again.

Conclusion: slow calls late in a run of the module came from the tests themselves.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -67,6 +67,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicBoolean
+import kotlinx.coroutines.job
 import java.util.concurrent.atomic.AtomicLong
 
 /** An entry VM with the given [settings]. */
@@ -198,6 +199,8 @@
         val controlHandler = ControlHandler(settings, this, peers, configuration, metrics, ::steadyMs)
         val controlServer = ControlServer(log, controlHandler::respond)
         setOf(
+        // The selector occupies a thread until it is closed.
+        scope.coroutineContext.job.invokeOnCompletion { selector.close() }
             settings.readinessAddress,
             settings.directoryAddress,
             SocketAddress(settings.ip, settings.metricsPort),
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
 import java.io.IOException
 import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
@@ -124,13 +125,20 @@
     val peerPort = freePort()
     lateinit var vm: EntryVm
 
+    init {
+        // Selectors that stay open take the threads that later sites need.
+        scope.coroutineContext.job.invokeOnCompletion { selector.close() }
+    }
+
     /** Starts the fakes and the VM; [moreSettings] are further lines of its settings file. */
     suspend fun start(vararg moreSettings: String): Site {
         val storePort = FakeServer(scope, store::handle).start(selector).port
         endpoints.forEach { endpoint ->
             val server = FakeServer(scope, endpoint::handle).start(selector)
+            // A server that is down has no port to ask for.
+            val port = server.port
             var starts = 1
-            endpoint.register = { register(endpoint, server.port, bornMs = starts) }
+            endpoint.register = { register(endpoint, port, bornMs = starts) }
             endpoint.register()
             endpoint.crash = {
                 server.crash(DOWN_MS)
