--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -62,6 +62,7 @@
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -215,15 +216,15 @@
             // Peers may have a newer configuration than a store that came back from an older copy.
             val isRestored = store.era?.let { it > FIRST_STORE_ERA } ?: false
             if (isRestored) withTimeoutOrNull(FIRST_REPORT_TIMEOUT_MS) { firstReport.await() }
-            configuration.run()
+            keepRunning("configuration-watcher") { configuration.run() }
         }
-        scope.launch { quarantineKeeper.run() }
-        scope.launch { endpointWatcher.run() }
-        scope.launch { registry.run() }
-        scope.launch { leaseManager.run() }
-        scope.launch { orderController.run(scope) }
-        scope.launch { runMaintenance() }
-        scope.launch { load.run() }
+        keepRunning("quarantine-keeper") { quarantineKeeper.run() }
+        keepRunning("endpoint-watcher") { endpointWatcher.run() }
+        keepRunning("vm-registry") { registry.run() }
+        keepRunning("lease") { leaseManager.run() }
+        keepRunning("orders") { orderController.run(scope) }
+        keepRunning("maintenance") { runMaintenance() }
+        keepRunning("load-monitor") { load.run() }
         registerGauges()
         log.write("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerAddress.toString())
     }
@@ -233,6 +234,24 @@
             reuseAddress = true
             backlogSize = BACKLOG
         }
+    /** Runs [block], and again after an unexpected error: a VM whose component [name] has ended would serve blindly. */
+    private fun keepRunning(name: String, block: suspend () -> Unit) = scope.launch {
+        while (true) {
+            try {
+                block()
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (unexpected: Throwable) {
+                log.write(
+                    "component-failed",
+                    "component" to name,
+                    "error" to unexpected.stackTraceToString().take(MAX_STACK_CHARS),
+                )
+            }
+            delay(COMPONENT_RESTART_MS)
+        }
+    }
+
 
     private fun registerGauges() {
         metrics.addGauge("daisybend_configuration_age_seconds", "Time since the store confirmed the configuration") {
@@ -476,6 +495,10 @@
         /**
          * How long a stopping VM accepts new requests at most, in milliseconds: cached directory responses have expired
          * by then. It stops earlier, after a third of the grace period, if that is shorter (see [stop]).
+        /** Pause before a component that failed runs again, in milliseconds. */
+        const val COMPONENT_RESTART_MS = 250L
+        const val MAX_STACK_CHARS = 2_000
+
          */
         const val ACCEPT_WHILE_STOPPING_MS = 2_500L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -136,7 +136,7 @@
     private fun applyRecord(record: KeyedRecord) {
         val text = record.value ?: return onMissing(record.key)
         val entry = readEndpoint(record.key, text).getOrElse {
-            log.write("endpoint-entry-unreadable", "endpoint" to record.key, "reason" to it.message)
+            log.write("endpoint-entry-unreadable", "reason" to it.message)
             return
         }
         missingIds.remove(record.key)
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
@@ -8,6 +8,7 @@
 import io.daisybend.platform.readKeyedRecord
 import io.daisybend.platform.writeKeyedRecord
 import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonPrimitive
 import java.nio.ByteBuffer
 import java.util.Base64
 
@@ -87,7 +88,7 @@
         val items = records.mapNotNull(::readKeyedRecord).associate { it.key to it.value }.filterValues { it != null }
             .map { (key, value) ->
                 val encoded = Base64.getEncoder().encodeToString(value!!.encodeToByteArray())
-                """{"key":"$key","value":"$encoded","offset":0}"""
+                """{"key":${JsonPrimitive(key)},"value":"$encoded","offset":0}"""
             }
         respond(
             call,
