Judge a silent stream by its events, and cut it only if another engine can go on

A stalled stream whose engine sends a byte now and then was never given up before its deadline, since each byte began the wait anew.

Change: the wait counts from the last complete event. When it is over, the stream is given up if an attempt is left and another engine could take it now; otherwise it goes on and is checked again each 200 ms. The same for the first response.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -78,7 +78,16 @@
 
     private val streamBinding = endpointPool.bindStream(admitted)
     private val relay =
-        ResponseRelay(connection, admitted, endpointPool, endDetector, streamBinding, responseMemory, steadyMs)
+        ResponseRelay(
+            connection,
+            admitted,
+            endpointPool,
+            endDetector,
+            streamBinding,
+            responseMemory,
+            steadyMs,
+            ::mayResumeElsewhere,
+        )
     private val failedEndpoints = HashSet<String>()
 
     /** The version of the engines' software that the stream has to go on at, or null. */
@@ -246,8 +255,8 @@
      * if the request may be sent to another one.
      */
     private fun responseTimeoutMs(): Long {
-        val firstResponseTimeoutMs = if (admitted.route.resumable) FIRST_RESPONSE_TIMEOUT_MS else Long.MAX_VALUE
-        return remainingMs.coerceIn(1, firstResponseTimeoutMs)
+        val hasAttemptLeft = admitted.route.resumable && endpointsUsed.size < admitted.route.maxAttempts
+        return remainingMs.coerceIn(1, if (hasAttemptLeft) FIRST_RESPONSE_TIMEOUT_MS else Long.MAX_VALUE)
     }
 
     private fun connectTimeoutMs(): Long = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS)
@@ -270,6 +279,14 @@
         if (response.headers.didNotRun) return onRejection(endpoint, response)
         mayHaveRun = true
         if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
+    /** Whether another engine could go on with the stream now. */
+    private fun mayResumeElsewhere(): Boolean = endpointsUsed.size < admitted.route.maxAttempts &&
+        remainingMs > MIN_RETRY_TIME_MS &&
+        endpointPool.hasAlternative(
+            admitted,
+            EndpointCandidates(failedEndpoints + endpointsUsed.last(), lastExchange?.endpoint?.entry?.softwareVersion),
+        )
+
         if (!response.headers.sealed) {
             response.exchange.abort()
             endpointPool.outcomes.recordFailure(endpoint)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -14,11 +14,16 @@
 import io.daisybend.platform.headersForCaller
 import io.daisybend.serving.attempt.SendOutcome
 import io.daisybend.serving.endpoint.Endpoint
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.EOFException
 import java.io.IOException
 
-/** Forwards responses for [admitted] to [connection]. */
+/**
+ * Forwards responses for [admitted] to [connection]. A stream without a new event for some time is given up only if
+ * [mayResumeElsewhere], since a slow engine may still be sound.
+ */
 internal class ResponseRelay(
     private val connection: CallerConnection,
     private val admitted: AdmittedRequest,
@@ -27,6 +32,7 @@
     private val streamBinding: StreamBinding,
     private val responseMemory: BodyMemory,
     private val steadyMs: () -> Long,
+    private val mayResumeElsewhere: () -> Boolean,
 ) {
     /** Time from the arrival of the request to the first piece of its response, in milliseconds. */
     var firstPieceMs: Long? = null
@@ -143,12 +149,15 @@
     ): String {
         var isProven = false
         var receivedBytes = 0
+        var eventAtMs = steadyMs()
         while (true) {
-            val bytes = readNextPiece(response) ?: break
+            val bytes = readNextPiece(response, eventAtMs) ?: break
             receivedBytes += bytes.size
             if (receivedBytes > MAX_STREAM_BYTES) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
             if (firstPieceMs == null) firstPieceMs = steadyMs() - admitted.arrivedAtMs
+            val eventsBefore = tracked.progress.eventCount
             tracked.progress.onBytes(bytes)
+            if (tracked.progress.eventCount > eventsBefore) eventAtMs = steadyMs()
             endpointPool.exchanges.onFirstEvent(tracked)
             if (!isProven && tracked.progress.eventCount >= PROVEN_EVENTS) {
                 isProven = true
@@ -179,15 +188,25 @@
     private suspend fun endsWithEndpoint(endpoint: Endpoint, response: SendStart.HeadReceived): Boolean =
         response.head.framing == BodyFraming.UntilClose && endDetector.hasEnded(endpoint)
 
-    private suspend fun readNextPiece(response: SendStart.HeadReceived): ByteArray? {
+    /**
+     * Reads the next piece of a stream whose last event was at [eventAtMs]. Bytes that complete no event don't prolong
+     * the wait of a stream that can go on elsewhere.
+     */
+    private suspend fun readNextPiece(response: SendStart.HeadReceived, eventAtMs: Long): ByteArray? {
         if (!admitted.route.resumable) return response.exchange.body.readPiece()
-        var piece: ByteArray? = null
-        val isInTime = withTimeoutOrNull(STREAM_IDLE_TIMEOUT_MS) {
-            piece = response.exchange.body.readPiece()
-            true
+        return coroutineScope {
+            val reading = async { response.exchange.body.readPiece() }
+            var checkAtMs = eventAtMs + STREAM_IDLE_TIMEOUT_MS
+            while (withTimeoutOrNull(checkAtMs - steadyMs()) { reading.join() } == null) {
+                if (!reading.isActive) break
+                if (mayResumeElsewhere()) {
+                    reading.cancel()
+                    throw StreamIdleException("no event for ${steadyMs() - eventAtMs} ms")
+                }
+                checkAtMs = steadyMs() + ALTERNATIVE_CHECK_INTERVAL_MS
+            }
+            reading.await()
         }
-        if (isInTime == null) throw StreamIdleException("no event for $STREAM_IDLE_TIMEOUT_MS ms")
-        return piece
     }
 
     private fun completedResult(status: Int): SendResult {
@@ -209,5 +228,8 @@
 
         /** Silence after which a resumable stream goes to another engine, in milliseconds: many times a usual pause. */
         private const val STREAM_IDLE_TIMEOUT_MS = 1_200L
+
+        /** Interval at which a silent stream checks whether it can go on elsewhere by now, in milliseconds. */
+        private const val ALTERNATIVE_CHECK_INTERVAL_MS = 200L
     }
 }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -4,12 +4,14 @@
  */
 package io.daisybend.entry.standin
 
+import io.daisybend.entry.http.ByteSource
 import io.daisybend.entry.http.encodeChunk
 import io.daisybend.entry.http.encodeHead
 import io.daisybend.entry.http.writeAll
 import io.daisybend.entry.http.writeLastChunk
 import io.daisybend.platform.Header
 import kotlinx.coroutines.delay
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
 
@@ -18,6 +20,24 @@
     SERVE,
     LOSE_RESPONSE,
     REJECT,
+
+    /** Turns the request away for the time of [FakeEndpoint.shedFor]. */
+    SHED,
+
+    /** Writes the last refusal on the connection once more, and then serves the request. */
+    REPEAT_REFUSAL,
+
+    /** As [REPEAT_REFUSAL], but the repeated refusal does not name the request. */
+    REPEAT_REFUSAL_UNNAMED,
+
+    /** Says in an interim head that the endpoint is leaving, and then serves the request. */
+    LEAVE_IN_INTERIM_HEAD,
+
+    /** Sends half of a stream, and then a byte now and then without end. */
+    DRIP,
+
+    /** Serves a stream with a long pause in its middle. */
+    SLOW,
     FAIL,
     EXTRA_RESPONSE,
     BREAK_MID_EVENT,
@@ -62,6 +82,20 @@
     @Volatile
     var version = "v1"
 
+    /** Whether all responses say that the endpoint is leaving. */
+    @Volatile
+    var isLeaving = false
+
+    /** Seconds for which [Behaviour.SHED] turns requests away, as written in the response, or null to name none. */
+    @Volatile
+    var shedFor: String? = null
+
+    /** Requests that were turned away. */
+    val turnedAway = CopyOnWriteArrayList<FakeServerCall>()
+
+    /** The last refused attempt by connection. */
+    private val refusedIds = ConcurrentHashMap<ByteSource, String>()
+
     /** Behaviours for the next requests. */
     val behaviours = ConcurrentLinkedQueue<Behaviour>()
 
@@ -74,8 +108,15 @@
     suspend fun handle(call: FakeServerCall) {
         if (call.header("X-Daisybend-Expect-Instance") != id) return call.respond(421)
         val behaviour = behaviours.poll() ?: Behaviour.SERVE
-        if (behaviour == Behaviour.REJECT) {
-            return call.respond(503, headers = ownHeaders(call) + Header("X-Daisybend-Not-Executed", "1"))
+        if (behaviour == Behaviour.REJECT || behaviour == Behaviour.SHED) {
+            turnedAway.add(call)
+            refusedIds[call.source] = call.header("X-Daisybend-Attempt-Id")!!
+            val retryAfter = shedFor?.takeIf { behaviour == Behaviour.SHED }?.let { Header("Retry-After", it) }
+            return call.respond(503, headers = ownHeaders(call) + listOfNotNull(notExecuted, retryAfter))
+        }
+        refusedIds[call.source]?.let { repeatRefusal(call, behaviour, it) }
+        if (behaviour == Behaviour.LEAVE_IN_INTERIM_HEAD) {
+            call.sink.writeAll(encodeHead("HTTP/1.1 103 Early Hints", listOf(leaving)))
         }
         ran.add(call)
         when (behaviour) {
@@ -95,11 +136,21 @@
             Behaviour.RESET_WITH_LENGTH ->
                 sendHalf(call, listOf(Header("Content-Length", "1000"))) { call.resetConnection() }
             Behaviour.RESET_CHUNKED -> sendHalf(call, chunked) { call.resetConnection() }
+            Behaviour.DRIP -> sendHalf(call, chunked) { drip(call) }
             Behaviour.RESET_UNFRAMED -> sendHalf(call, emptyList()) { call.resetConnection() }
             else -> serve(call, behaviour)
         }
     }
 
+    private suspend fun repeatRefusal(call: FakeServerCall, behaviour: Behaviour, refusedId: String) {
+        val id = Header("X-Daisybend-Attempt-Id", refusedId)
+        when (behaviour) {
+            Behaviour.REPEAT_REFUSAL -> call.respond(503, headers = listOf(notExecuted, id))
+            Behaviour.REPEAT_REFUSAL_UNNAMED -> call.respond(503, headers = listOf(notExecuted))
+            else -> Unit
+        }
+    }
+
     /** Sends half of the events of a stream, or of a whole response, with [framing], and then calls [end]. */
     private suspend fun sendHalf(call: FakeServerCall, framing: List<Header>, end: suspend () -> Unit) {
         val isStream = streamPaths.any { call.head.path.startsWith(it) }
@@ -140,6 +191,7 @@
         val breaksOff = behaviour == Behaviour.BREAK_MID_EVENT || behaviour == Behaviour.UNFRAMED_BREAK_MID_EVENT
         for (number in firstEvent..EVENTS) {
             val isCut = breaksOff && number == BREAK_AT_EVENT
+            if (behaviour == Behaviour.SLOW && number == BREAK_AT_EVENT) delay(LONG_PAUSE_MS)
             val bytes = (if (isCut) "id: $number\nda" else "id: $number\ndata: $number\n\n").encodeToByteArray()
             call.sink.writeAll(if (isUnframed) bytes else encodeChunk(bytes))
             if (isCut) return call.closeConnection()
@@ -147,6 +199,13 @@
         if (isUnframed) call.closeConnection() else call.sink.writeLastChunk()
     }
 
+    private suspend fun drip(call: FakeServerCall) {
+        while (true) {
+            call.sink.writeAll(encodeChunk(byte))
+            delay(DRIP_MS)
+        }
+    }
+
     /** Writes until the connection closes. */
     private suspend fun sendWithoutEnd(call: FakeServerCall, start: ByteArray, piece: ByteArray) {
         call.sink.writeAll(start)
@@ -157,6 +216,7 @@
         Header("X-Daisybend-Attempt-Id", call.header("X-Daisybend-Attempt-Id")!!),
         Header("X-Daisybend-Response-Seal", "seal"),
         namedLimit?.let { Header("Server-Limit", it) },
+        leaving.takeIf { isLeaving },
     )
 
     companion object {
@@ -168,6 +228,13 @@
 
         /** Time in which sent bytes reach the VM, in milliseconds; a reset would discard them. */
         private const val ARRIVAL_MS = 50L
+
+        /** A pause that a slow but sound stream makes, in milliseconds. */
+        private const val LONG_PAUSE_MS = 1_700L
+        private const val DRIP_MS = 250L
+        private val byte = byteArrayOf(':'.code.toByte())
+        private val leaving = Header("Server-Leaving", "1")
+        private val notExecuted = Header("X-Daisybend-Not-Executed", "1")
         private val chunked = listOf(Header("Transfer-Encoding", "chunked"))
         private const val LARGE_RESPONSE_BYTES = 200_000
         private val filler = ByteArray(4_096) { 'x'.code.toByte() }
