Send nothing new to an endpoint that says in a response that it is leaving

Nothing read the header: a VM went on until the list of endpoints showed the departure, and an entry that was removed and came back made the endpoint usable again.

Ruled out: closing the connection, which the engine may ask for too, is not enough; the next request opens a new one.

Change: each head counts, also of refusals, interim heads, responses that break off later, responses to other requests and those to reports and orders; a 421 counts only if the endpoint names itself. LeavingEndpoints remembers the incarnation, whatever the list says; a request that waits for a connection is withheld and chosen again; idle connections are closed; the planner takes the endpoint as draining; peers hear of it in three reports and a new peer in its complete one. Streams in progress go on.

A build before this one cannot read a report with such a notice (three reports each).

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -5,6 +5,7 @@
 
 import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.exchange.CallerServer
+import io.daisybend.entry.exchange.EndpointDepartures
 import io.daisybend.entry.exchange.EndpointPool
 import io.daisybend.entry.exchange.EngineEndDetector
 import io.daisybend.entry.exchange.RequestHandler
@@ -23,6 +24,7 @@
 import io.daisybend.entry.peers.TeamUseReport
 import io.daisybend.entry.peers.toEvidence
 import io.daisybend.entry.peers.toHoldings
+import io.daisybend.entry.peers.toLeavingReports
 import io.daisybend.entry.peers.toOrigins
 import io.daisybend.entry.peers.toReport
 import io.daisybend.entry.peers.toReports
@@ -60,15 +62,15 @@
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicBoolean
-import kotlinx.coroutines.job
 import java.util.concurrent.atomic.AtomicLong
 
 /** An entry VM with the given [settings]. */
@@ -111,6 +113,8 @@
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
     private val endpointWatcher =
         EndpointWatcher(store, clocks, table, log, load, streamOrigins, ::onEndpointsChanged)
+    private val departures =
+        EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
         EndpointChooser(failureDomain = settings.failureDomain),
@@ -120,6 +124,7 @@
         quarantine,
         endpointRateLimiter,
         streamOrigins,
+        departures,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
@@ -156,7 +161,7 @@
     )
     private val orderController: OrderController = OrderController(
         leaseManager,
-        EngineClient(httpClient),
+        EngineClient(httpClient, departures::onResponse),
         table,
         fleet,
         endpointRateLimiter,
@@ -194,14 +199,14 @@
     /** Starts all components in [scope]. */
     suspend fun start(scope: CoroutineScope) {
         this.scope = scope
+        // The selector occupies a thread until it is closed.
+        scope.coroutineContext.job.invokeOnCompletion { selector.close() }
         val callerServer = listen(settings.callerAddress)
         callerSocket = callerServer
         scope.launch { callers.accept(callerServer, scope) }
         val controlHandler = ControlHandler(settings, this, peers, configuration, metrics, ::steadyMs)
         val controlServer = ControlServer(log, controlHandler::respond)
         setOf(
-        // The selector occupies a thread until it is closed.
-        scope.coroutineContext.job.invokeOnCompletion { selector.close() }
             settings.readinessAddress,
             settings.directoryAddress,
             SocketAddress(settings.ip, settings.metricsPort),
@@ -229,11 +234,6 @@
         log.write("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerAddress.toString())
     }
 
-    private suspend fun listen(address: SocketAddress): ServerSocket =
-        aSocket(selector).tcp().bind(InetSocketAddress(address.host, address.port)) {
-            reuseAddress = true
-            backlogSize = BACKLOG
-        }
     /** Runs [block], and again after an unexpected error: a VM whose component [name] has ended would serve blindly. */
     private fun keepRunning(name: String, block: suspend () -> Unit) = scope.launch {
         while (true) {
@@ -252,6 +252,11 @@
         }
     }
 
+    private suspend fun listen(address: SocketAddress): ServerSocket =
+        aSocket(selector).tcp().bind(InetSocketAddress(address.host, address.port)) {
+            reuseAddress = true
+            backlogSize = BACKLOG
+        }
 
     private fun registerGauges() {
         metrics.addGauge("daisybend_configuration_age_seconds", "Time since the store confirmed the configuration") {
@@ -313,6 +318,7 @@
             endpointRateLimiter.setContact(contact, now)
             endpointRateLimiter.removeExpired(now)
             quarantine.removeExpired(now)
+            departures.removeForgotten()
         }
     }
 
@@ -410,6 +416,11 @@
                 ReportPurpose.DEMAND -> emptyList()
             }.toStreamReports(),
             versionAheadOfStore = configuration.versionAheadOfStore,
+            leaving = when (purpose) {
+                ReportPurpose.BROADCAST -> departures.reportChanges()
+                ReportPurpose.COMPLETE -> departures.reportAll()
+                ReportPurpose.DEMAND -> emptyList()
+            }.toLeavingReports(),
         )
     }
 
@@ -446,6 +457,7 @@
         )
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
+        departures.onPeerReport(report.vm, report.leaving.map { Incarnation(it.endpoint, it.bornMs) })
         report.versionAheadOfStore?.let(configuration::onPeerAhead)
         firstReport.complete(Unit)
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
@@ -475,6 +487,10 @@
         /** How long a VM that starts waits for the first report of a peer, in milliseconds: two report intervals. */
         const val FIRST_REPORT_TIMEOUT_MS = 600L
 
+        /** Pause before a component that failed runs again, in milliseconds. */
+        const val COMPONENT_RESTART_MS = 250L
+        const val MAX_STACK_CHARS = 2_000
+
         /** Maximum number of connections that wait to be accepted. */
         const val BACKLOG = 512
 
@@ -495,10 +511,6 @@
         /**
          * How long a stopping VM accepts new requests at most, in milliseconds: cached directory responses have expired
          * by then. It stops earlier, after a third of the grace period, if that is shorter (see [stop]).
-        /** Pause before a component that failed runs again, in milliseconds. */
-        const val COMPONENT_RESTART_MS = 250L
-        const val MAX_STACK_CHARS = 2_000
-
          */
         const val ACCEPT_WHILE_STOPPING_MS = 2_500L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -1,5 +1,6 @@
 /*
- * Records what sends to endpoints show: health, refused models, named limits, and which prompts were answered.
+ * Records what sends to endpoints show: health, refused models, named limits, endpoints that are leaving, and which
+ * prompts were answered.
  */
 package io.daisybend.entry.exchange
 
@@ -15,6 +16,7 @@
     private val table: EndpointTable,
     private val quarantine: PromptQuarantine,
     private val rateLimiter: EndpointRateLimiter,
+    private val departures: EndpointDepartures,
     private val steadyMs: () -> Long,
 ) {
     /** Records a successful response of [endpoint]. */
@@ -37,6 +39,9 @@
     fun recordLimit(endpoint: Endpoint, limit: RequestLimit.Named?) =
         rateLimiter.onResponse(endpoint.incarnation, limit?.perSecond, steadyMs())
 
+    /** Records that [endpoint] said that it is leaving. */
+    fun recordLeaving(endpoint: Endpoint) = departures.onResponse(endpoint.incarnation)
+
     /** Records that a request to [endpoint] did not reach it. */
     fun recordUnsent(endpoint: Endpoint) = rateLimiter.refund(endpoint.incarnation)
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -70,6 +70,7 @@
     private val quarantine: PromptQuarantine,
     private val rateLimiter: EndpointRateLimiter,
     private val streamOrigins: StreamOrigins,
+    departures: EndpointDepartures,
     private val listAgeMs: () -> Long,
     private val steadyMs: () -> Long,
 ) {
@@ -82,7 +83,7 @@
     val exchanges = ExchangeTracker(table, promptCache, steadyMs)
 
     /** Outcomes of sends. */
-    val outcomes = EndpointOutcomes(table, quarantine, rateLimiter, steadyMs)
+    val outcomes = EndpointOutcomes(table, quarantine, rateLimiter, departures, steadyMs)
 
     /** Demand of this VM for models. */
     val demand = ModelDemandTracker(steadyMs)
@@ -214,6 +215,10 @@
     fun hasAlternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Boolean =
         choose(admitted, candidates) is EndpointChoice.Send
 
+    /** Returns whether a request that was chosen for [endpoint] may still be sent to it. */
+    fun mayStillSend(endpoint: Endpoint): Boolean =
+        !endpoint.entry.isDraining && endpoint.incarnation !in table.leaving
+
     private fun choose(admitted: AdmittedRequest, candidates: EndpointCandidates): EndpointChoice =
         load.measure(Activity.CHOOSE_ENDPOINT) { chooseNow(admitted, candidates) }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -34,8 +34,8 @@
 
 /** Result of sending a request and waiting for the response head. */
 internal sealed interface SendStart {
-    /** No byte of the request was written. */
-    data class NotSent(val reason: String) : SendStart
+    /** No byte of the request was written; [isWithheld] if the endpoint wanted no request any more. */
+    data class NotSent(val reason: String, val isWithheld: Boolean = false) : SendStart
 
     /** The request was written, but no valid response was received. */
     data class NoResponse(
@@ -88,6 +88,15 @@
     }
 }
 
+/** Watches over a send. */
+internal interface SendGuard {
+    /** Returns whether the request may still be sent, once there is a connection. */
+    fun maySend(): Boolean
+
+    /** Called for each head that the endpoint sends, also for interim ones and those of other requests. */
+    fun onHead(headers: EndpointResponseHeaders)
+}
+
 /**
  * Sends [request] to [endpoint] and waits for the response head; a long body may still be written in [scope] after the
  * return.
@@ -99,13 +108,18 @@
     endpoint: Endpoint,
     headers: SendHeaders,
     connectTimeoutMs: Long,
+    guard: SendGuard,
 ): SendStart {
     val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
     val connection = connectionPool.takeIdle(address) ?: connectionPool.connect(address, connectTimeoutMs)
         ?: return SendStart.NotSent("no connection to $address within $connectTimeoutMs ms")
+    if (!guard.maySend()) {
+        connection.close()
+        return SendStart.NotSent("the endpoint wants no requests", isWithheld = true)
+    }
     val writeJob = scope.launch { writeRequest(connection, request, headers) }
     return try {
-        readResponseHead(connectionPool, connection, request, writeJob)
+        readResponseHead(connectionPool, connection, request, writeJob, guard)
     } catch (cancelled: CancellationException) {
         connection.close()
         throw cancelled
@@ -148,13 +162,15 @@
     connection: Connection,
     request: BufferedRequest,
     writeJob: Job,
+    guard: SendGuard,
 ): SendStart {
     repeat(MAX_UNRELATED_RESPONSES + 1) {
         val headLines = connection.source.readHeadLines(MAX_RESPONSE_HEAD_BYTES)
             ?: throw ConnectionBrokenException(null)
         val head = parseResponseHead(headLines, request.head.method)
-        if (head.status < FIRST_FINAL_STATUS) return@repeat
         val headers = readEndpointResponseHeaders(head.status, head.headers)
+        guard.onHead(headers)
+        if (head.status < FIRST_FINAL_STATUS) return@repeat
         val isOwn = headers.attemptId == request.attemptId || (headers.attemptId == null && headers.didNotRun)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -8,6 +8,7 @@
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.http.BodyFraming
 import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.RequestLimit
 import io.daisybend.platform.SendHeaders
 import io.daisybend.platform.attemptIdHeader
@@ -40,6 +41,8 @@
     val connectionEnded: Boolean = false,
     /** Whether the head of a response was received. */
     val headReceived: Boolean = true,
+    /** Whether the request was not sent because the endpoint wanted none any more. */
+    val isWithheld: Boolean = false,
 )
 
 /** Sends [admitted], which arrived on [connection]. */
@@ -199,15 +202,16 @@
                         endpoint,
                         sendHeaders(endpoint),
                         connectTimeoutMs(),
+                        guardOf(endpoint),
                     )
                 }
             } ?: SendStart.NoResponse("no answer in time")
             if (startResult is SendStart.HeadReceived) exchange = startResult.exchange
             return when (startResult) {
                 is SendStart.NotSent -> {
-                    endpointPool.outcomes.recordUnreachable(endpoint)
+                    if (!startResult.isWithheld) endpointPool.outcomes.recordUnreachable(endpoint)
                     endpointPool.outcomes.recordUnsent(endpoint)
-                    SendResult(SendOutcome.NotSent, startResult.reason)
+                    SendResult(SendOutcome.NotSent, startResult.reason, isWithheld = startResult.isWithheld)
                 }
                 is SendStart.NoResponse -> {
                     mayHaveRun = true
@@ -227,6 +231,14 @@
         }
     }
 
+    private fun guardOf(endpoint: Endpoint) = object : SendGuard {
+        override fun maySend() = endpointPool.mayStillSend(endpoint)
+
+        override fun onHead(headers: EndpointResponseHeaders) {
+            if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
+        }
+    }
+
     /** Runs [send], or cancels it once the prompt is quarantined: an engine that has not begun the answer drops it. */
     private suspend fun unlessQuarantined(send: suspend () -> SendStart): SendStart {
         if (admitted.sharedPartIds.isEmpty()) return send()
@@ -259,6 +271,14 @@
         return remainingMs.coerceIn(1, if (hasAttemptLeft) FIRST_RESPONSE_TIMEOUT_MS else Long.MAX_VALUE)
     }
 
+    /** Whether another engine could go on with the stream now. */
+    private fun mayResumeElsewhere(): Boolean = endpointsUsed.size < admitted.route.maxAttempts &&
+        remainingMs > MIN_RETRY_TIME_MS &&
+        endpointPool.hasAlternative(
+            admitted,
+            EndpointCandidates(failedEndpoints + endpointsUsed.last(), lastExchange?.endpoint?.entry?.softwareVersion),
+        )
+
     private fun connectTimeoutMs(): Long = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS)
 
     private fun sendHeaders(endpoint: Endpoint) = SendHeaders(
@@ -279,14 +299,6 @@
         if (response.headers.didNotRun) return onRejection(endpoint, response)
         mayHaveRun = true
         if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
-    /** Whether another engine could go on with the stream now. */
-    private fun mayResumeElsewhere(): Boolean = endpointsUsed.size < admitted.route.maxAttempts &&
-        remainingMs > MIN_RETRY_TIME_MS &&
-        endpointPool.hasAlternative(
-            admitted,
-            EndpointCandidates(failedEndpoints + endpointsUsed.last(), lastExchange?.endpoint?.entry?.softwareVersion),
-        )
-
         if (!response.headers.sealed) {
             response.exchange.abort()
             endpointPool.outcomes.recordFailure(endpoint)
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -82,6 +82,15 @@
         synchronized(connections) { connections.addLast(connection) }
     }
 
+    /** Closes the idle connections to [address]. */
+    fun closeIdle(address: SocketAddress) {
+        val connections = idle[address] ?: return
+        synchronized(connections) {
+            connections.forEach { it.close() }
+            connections.clear()
+        }
+    }
+
     /** Closes idle connections that may not be reused any more. */
     fun closeExpired() {
         val now = steadyMs()
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -106,6 +106,10 @@
     val level: Double,
 )
 
+/** An endpoint that said in a response that it is leaving. */
+@Serializable
+internal data class LeavingReport(val endpoint: String, val bornMs: Long)
+
 /** The streams that began at [version] of [service], by their hashes. */
 @Serializable
 internal data class StreamOriginReport(val service: String, val version: String?, val streams: List<Long>)
@@ -143,6 +147,7 @@
     val streams: List<StreamOriginReport> = emptyList(),
     /** The sender's version of the configuration, while the store has only an older one. */
     val versionAheadOfStore: Long? = null,
+    val leaving: List<LeavingReport> = emptyList(),
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -185,6 +190,9 @@
     report.streams.map { StreamOrigin(it, report.service, SoftwareVersion(report.version)) }
 }
 
+/** Returns the reports of these leaving endpoints. */
+internal fun List<Incarnation>.toLeavingReports(): List<LeavingReport> = map { LeavingReport(it.id, it.bornMs) }
+
 /** Returns the report of this evidence. */
 internal fun PromptEvidence.toReport() = PromptEvidenceReport(
     ends.map { it.toReport() },
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -151,7 +151,14 @@
                 "holds" to entry.holdings?.models?.keys,
             )
         }
-        if (entry.isDraining && old?.entry?.isDraining != true) log.write("endpoint-leaving", "endpoint" to record.key)
+        if (entry.isDraining && old?.entry?.isDraining != true) {
+            log.write(
+                "endpoint-leaving",
+                "endpoint" to record.key,
+                "bornMs" to entry.incarnation.bornMs,
+                "source" to "list",
+            )
+        }
     }
 
     /**
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
@@ -65,6 +65,9 @@
     private val lock = Any()
     private val endpoints = LinkedHashMap<String, Endpoint>()
 
+    /** The endpoints that said that they are leaving. */
+    public val leaving: LeavingEndpoints = LeavingEndpoints()
+
     /** Returns the endpoints of [service]. */
     public fun ofService(service: String): List<Endpoint> =
         synchronized(lock) { endpoints.values.filter { it.entry.service == service } }
@@ -82,12 +85,13 @@
     public fun put(entry: EndpointEntry, nowMs: Long): Unit = synchronized(lock) {
         val id = entry.incarnation.id
         val known = endpoints[id]
+        val isLeaving = entry.isDraining || entry.incarnation in leaving
         if (known == null || known.incarnation.bornMs < entry.incarnation.bornMs) {
-            endpoints[id] = Endpoint(entry)
+            endpoints[id] = Endpoint(entry.copy(isDraining = isLeaving))
             return
         }
         if (known.incarnation.bornMs > entry.incarnation.bornMs) return
-        known.entry = entry.copy(isDraining = entry.isDraining || known.entry.isDraining)
+        known.entry = entry.copy(isDraining = isLeaving || known.entry.isDraining)
         if (nowMs >= known.announcedUntilMs) known.holdings = entry.holdings
     }
 
@@ -111,6 +115,12 @@
         )
     }
 
+    /** Marks the endpoint of [incarnation] as leaving, after [leaving] has learned of it. */
+    public fun onLeaving(incarnation: Incarnation): Unit = synchronized(lock) {
+        val known = endpoints[incarnation.id]?.takeIf { it.incarnation == incarnation } ?: return
+        known.entry = known.entry.copy(isDraining = true)
+    }
+
     /** Records that an exchange with [reservation] starts at [endpoint]. */
     public fun onExchangeStarted(endpoint: Endpoint, reservation: Reservation): Unit = synchronized(lock) {
         endpoint.inFlight++
