Take a refusal as the response only where it can be no earlier one

Seen on with the new test: an endpoint that writes an earlier refusal once more on a kept connection, without the id of a request, made the VM send the next request to a second endpoint while the first ran it (TWICE), or tell its caller that it had not run (REFUSED). With the id of the request itself the same can happen to a request that comes back to the endpoint that refused it.

Ruled out: refusals with another id, which were skipped already.

Change: a refusal without an id counts only as the first response of a connection; a request that was at an endpoint before goes there over a new connection.

Before: RepeatedRefusalTest fails in both tests; after: both pass.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -99,7 +99,8 @@
 
 /**
  * Sends [request] to [endpoint] and waits for the response head; a long body may still be written in [scope] after the
- * return.
+ * return. A request that the endpoint has refused before [needsNewConnection]: on the old one the same refusal may come
+ * once more.
  */
 internal suspend fun startSend(
     connectionPool: ConnectionPool,
@@ -108,10 +109,12 @@
     endpoint: Endpoint,
     headers: SendHeaders,
     connectTimeoutMs: Long,
+    needsNewConnection: Boolean,
     guard: SendGuard,
 ): SendStart {
     val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
-    val connection = connectionPool.takeIdle(address) ?: connectionPool.connect(address, connectTimeoutMs)
+    val kept = if (needsNewConnection) null else connectionPool.takeIdle(address)
+    val connection = kept ?: connectionPool.connect(address, connectTimeoutMs)
         ?: return SendStart.NotSent("no connection to $address within $connectTimeoutMs ms")
     if (!guard.maySend()) {
         connection.close()
@@ -164,6 +167,8 @@
     writeJob: Job,
     guard: SendGuard,
 ): SendStart {
+    // A refusal without an id may answer an earlier request of a kept connection.
+    val wasKept = connection.wasUsed
     repeat(MAX_UNRELATED_RESPONSES + 1) {
         val headLines = connection.source.readHeadLines(MAX_RESPONSE_HEAD_BYTES)
             ?: throw ConnectionBrokenException(null)
@@ -171,7 +176,8 @@
         val headers = readEndpointResponseHeaders(head.status, head.headers)
         guard.onHead(headers)
         if (head.status < FIRST_FINAL_STATUS) return@repeat
-        val isOwn = headers.attemptId == request.attemptId || (headers.attemptId == null && headers.didNotRun)
+        val isUnnamedRefusal = headers.attemptId == null && headers.didNotRun
+        val isOwn = headers.attemptId == request.attemptId || (isUnnamedRefusal && !wasKept)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
         BodyReader(connection.source, head.framing).discardAll(MAX_UNRELATED_BODY_BYTES)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -194,6 +194,7 @@
     }
 
     private suspend fun sendOnce(scope: CoroutineScope, endpoint: Endpoint): SendResult {
+        val wasSentThere = endpoint.incarnation.id in endpointsUsed
         endpointsUsed.add(endpoint.incarnation.id)
         val tracked = endpointPool.exchanges.begin(endpoint, admitted.caller.demand)
         lastExchange = tracked
@@ -208,6 +209,7 @@
                         endpoint,
                         sendHeaders(endpoint),
                         connectTimeoutMs(),
+                        needsNewConnection = wasSentThere,
                         guardOf(endpoint),
                     )
                 }
