Close an idle connection of a stopping VM only while it cannot have begun a request

Cause: closing looked at the set of busy connections without a lock, so a connection could become busy between the look and the close; and the bytes of a request may have arrived before the connection counts as busy.

Change: a connection is closed as idle, or begins a request, under its own lock; one with received bytes is not idle; one that was closed passes nothing on.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerConnection.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerConnection.kt
@@ -30,6 +30,9 @@
         private set
 
     private var isChunked = false
+    private val lock = Any()
+    private var isBusy = false
+    private var wasClosedIdle = false
 
     /** Resets the state of the response for the next request. */
     fun startRequest() {
@@ -37,6 +40,25 @@
         isChunked = false
     }
 
+    /**
+     * Marks the connection as busy once the first bytes of a request have arrived. Returns false if it was closed as
+     * idle before: the request must not be passed on, since its caller can get no response.
+     */
+    fun beginRequest(): Boolean = synchronized(lock) {
+        isBusy = !wasClosedIdle
+        isBusy
+    }
+
+    /** Marks the connection as idle after a request. */
+    fun endRequest() = synchronized(lock) { isBusy = false }
+
+    /** Closes the connection unless a request is in progress or its bytes have arrived. */
+    fun closeIfIdle() = synchronized(lock) {
+        if (isBusy || source.hasPendingInput) return
+        wasClosedIdle = true
+        close()
+    }
+
     /** Writes a response with its whole body. */
     suspend fun writeResponse(
         status: Int,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
@@ -59,7 +59,6 @@
     private val steadyMs: () -> Long,
 ) {
     private val openConnections = ConcurrentHashMap.newKeySet<CallerConnection>()
-    private val busyConnections = ConcurrentHashMap.newKeySet<CallerConnection>()
     private val activeRequests = AtomicInteger()
 
     /** Whether this VM is shutting down; responses then close their connections. */
@@ -91,7 +90,7 @@
 
     /** Closes connections without a request in progress. */
     fun closeIdle() {
-        openConnections.filter { it !in busyConnections }.forEach { it.close() }
+        openConnections.forEach { it.closeIfIdle() }
     }
 
     private suspend fun serve(socket: Socket) {
@@ -114,7 +113,6 @@
             )
         } finally {
             openConnections.remove(connection)
-            busyConnections.remove(connection)
             connection.close()
         }
     }
@@ -123,7 +121,7 @@
     private suspend fun serveNext(connection: CallerConnection): Boolean {
         val limits = configuration.table?.configuration?.limits ?: defaultLimits
         if (connection.source.buffered == 0 && !awaitFirstByte(connection)) return false
-        busyConnections.add(connection)
+        if (!connection.beginRequest()) return false
         activeRequests.incrementAndGet()
         try {
             val arrivedAtMs = steadyMs()
@@ -138,7 +136,7 @@
             }
         } finally {
             activeRequests.decrementAndGet()
-            busyConnections.remove(connection)
+            connection.endRequest()
         }
     }
 
