--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -44,6 +44,7 @@
 import io.daisybend.serving.duty.DutySettings
 import io.daisybend.serving.duty.FIRST_STORE_ERA
 import io.daisybend.serving.endpoint.EndpointChooser
+import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.quarantine.PromptEvidence
@@ -113,6 +114,7 @@
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
     private val endpointWatcher =
         EndpointWatcher(store, clocks, table, log, load, streamOrigins, ::onEndpointsChanged)
+    private val pauses = EndpointPauses()
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val endpointPool: EndpointPool = EndpointPool(
@@ -124,6 +126,7 @@
         quarantine,
         endpointRateLimiter,
         streamOrigins,
+        pauses,
         departures,
         endpointWatcher::listAgeMs,
         ::steadyMs,
@@ -276,7 +279,10 @@
             "Time for which endpoints want no requests",
             "endpoint",
         ) {
-            endpointPool.pausesLeftMs().mapValues { (_, leftMs) -> leftMs / MILLIS_PER_SECOND }
+            pauses.current(steadyMs()).entries.associate { (endpoint, leftMs) ->
+                endpoint.id to
+                    leftMs / MILLIS_PER_SECOND
+            }
         }
         metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.requestsInProgress.toDouble()
@@ -325,7 +331,7 @@
             endpointRateLimiter.setContact(contact, now)
             endpointRateLimiter.removeExpired(now)
             quarantine.removeExpired(now)
-            endpointPool.removeEndedPauses()
+            pauses.removeEnded(now)
             departures.removeForgotten()
         }
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -1,6 +1,6 @@
 /*
- * Records what sends to endpoints show: health, refused models, named limits and pauses, endpoints that are leaving, and
- * which prompts were answered.
+ * Records what sends to endpoints show: health, refused models, named limits and pauses, endpoints that are leaving,
+ * and which prompts were answered.
  */
 package io.daisybend.entry.exchange
 
@@ -48,6 +48,13 @@
     fun recordPause(endpoint: Endpoint, pauseMs: Long): Long? =
         pauses.onTurnedAway(endpoint.incarnation, pauseMs, steadyMs())
 
+    /** Returns whether [endpoint] wants no request of this VM now. */
+    fun isPaused(endpoint: Endpoint): Boolean = pauses.leftMs(endpoint.incarnation, steadyMs()) > 0
+
+    /** Returns whether a request that was chosen for [endpoint] may still be sent to it. */
+    fun mayStillSend(endpoint: Endpoint): Boolean =
+        !endpoint.entry.isDraining && endpoint.incarnation !in table.leaving && !isPaused(endpoint)
+
     /** Records that [endpoint] said that it is leaving. */
     fun recordLeaving(endpoint: Endpoint) = departures.onResponse(endpoint.incarnation)
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -72,6 +72,7 @@
     private val quarantine: PromptQuarantine,
     private val rateLimiter: EndpointRateLimiter,
     private val streamOrigins: StreamOrigins,
+    private val pauses: EndpointPauses,
     departures: EndpointDepartures,
     private val listAgeMs: () -> Long,
     private val steadyMs: () -> Long,
@@ -80,7 +81,6 @@
     private val changeCount = AtomicLong()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val promptCache = PromptCacheIndex()
-    private val pauses = EndpointPauses()
 
     /** Requests of this VM in progress at endpoints. */
     val exchanges = ExchangeTracker(table, promptCache, steadyMs)
@@ -174,7 +174,10 @@
     private fun awaitModel(admitted: AdmittedRequest, waitStartedAtMs: Long): Step {
         val model = admitted.caller.demand?.model ?: return Step.Finish(noEndpoint(admitted))
         val waitMs = remainingWaitMs(admitted, model, waitStartedAtMs)
-        return if (waitMs <= 0) Step.Finish(modelNotHeld(model)) else Step.Wait(waitMs)
+        if (waitMs > 0) return Step.Wait(waitMs)
+        val expectedMs = fleet.loadedInMs(model)
+        val reason = "$model is held nowhere" + (expectedMs?.let { ", expected in $it ms" } ?: ", no load is announced")
+        return Step.Finish(EndpointSelection.Unavailable(reason, expectedMs ?: MODEL_NOT_HELD_RETRY_AFTER_MS))
     }
 
     /** Waits [waitMs] for endpoints that [problem] keeps from serving, if [admitted] can still be served then. */
@@ -220,19 +223,6 @@
     fun hasAlternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Boolean =
         choose(admitted, candidates) is EndpointChoice.Send
 
-    /** Returns whether a request that was chosen for [endpoint] may still be sent to it. */
-    fun mayStillSend(endpoint: Endpoint): Boolean =
-        !endpoint.entry.isDraining && endpoint.incarnation !in table.leaving && !isPaused(endpoint)
-
-    /** Returns whether [endpoint] wants no request of this VM now. */
-    fun isPaused(endpoint: Endpoint): Boolean = pauses.leftMs(endpoint.incarnation, steadyMs()) > 0
-
-    /** Returns the time that is left of each pause, in milliseconds, by endpoint id. */
-    fun pausesLeftMs(): Map<String, Long> = pauses.current(steadyMs()).mapKeys { it.key.id }
-
-    /** Forgets the pauses that have ended. */
-    fun removeEndedPauses() = pauses.removeEnded(steadyMs())
-
     /** Returns when [admitted], turned away by an endpoint, could be served if it came again, in milliseconds. */
     fun servedInMs(admitted: AdmittedRequest, version: SoftwareVersion?): Long =
         when (val choice = choose(admitted, EndpointCandidates(emptySet(), version))) {
@@ -313,22 +303,6 @@
         }
     }
 
-    /** Returns the load of [endpoint] from all VMs. */
-    fun loadOf(endpoint: Endpoint, peerUses: Map<String, List<EndpointUse>>): EndpointLoad {
-        val others = peerUses[endpoint.incarnation.id].orEmpty()
-        return EndpointLoad(
-            inFlight = endpoint.inFlight + others.sumOf { it.inFlight },
-            pendingPromptTokens = endpoint.pendingPromptTokens + others.sumOf { it.pendingPromptTokens },
-            kvTokens = endpoint.kvTokens + others.sumOf { it.kvTokens },
-        )
-    }
-
-    private fun modelNotHeld(model: String): EndpointSelection.Unavailable {
-        val expectedMs = fleet.loadedInMs(model)
-        val reason = "$model is held nowhere" + (expectedMs?.let { ", expected in $it ms" } ?: ", no load is announced")
-        return EndpointSelection.Unavailable(reason, expectedMs ?: MODEL_NOT_HELD_RETRY_AFTER_MS)
-    }
-
     /**
      * Returns how much longer a request may wait for [model], in milliseconds. The wait ends early enough to serve the
      * request or to refuse it before the caller times out; it is 0 if the load is expected too late.
@@ -375,3 +349,13 @@
         const val MODEL_NOT_HELD_RETRY_AFTER_MS = 1_000L
     }
 }
+
+/** Returns the load of [endpoint] from all VMs. */
+private fun loadOf(endpoint: Endpoint, peerUses: Map<String, List<EndpointUse>>): EndpointLoad {
+    val others = peerUses[endpoint.incarnation.id].orEmpty()
+    return EndpointLoad(
+        inFlight = endpoint.inFlight + others.sumOf { it.inFlight },
+        pendingPromptTokens = endpoint.pendingPromptTokens + others.sumOf { it.pendingPromptTokens },
+        kvTokens = endpoint.kvTokens + others.sumOf { it.kvTokens },
+    )
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -147,10 +147,10 @@
         SuspectRequest(admitted.sharedPartIds, hasStarted = result.headReceived)
 
     private fun decideNextStep(result: SendResult, endpoint: Endpoint): NextStep {
-        // An engine that refused the request may hold the model soon, and a paused endpoint takes requests again, so they
-        // are not excluded here; the refusal and the pause are remembered elsewhere.
+        // An engine that refused the request may hold the model soon, and a paused endpoint takes requests again, so
+        // they are not excluded here; the refusal and the pause are remembered elsewhere.
         val mayAcceptLater = result.isWithheld ||
-            endpointPool.isPaused(endpoint) ||
+            endpointPool.outcomes.isPaused(endpoint) ||
             (result.outcome is SendOutcome.RejectedUnrun && admitted.service.engine != null)
         if (!mayAcceptLater) failedEndpoints.add(endpoint.incarnation.id)
         val history = AttemptHistory(endpointsUsed.size, mayHaveRun)
@@ -240,7 +240,7 @@
     }
 
     private fun guardOf(endpoint: Endpoint) = object : SendGuard {
-        override fun maySend() = endpointPool.mayStillSend(endpoint)
+        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint)
 
         override fun onHead(headers: EndpointResponseHeaders) {
             if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
