Show endpoints that paused or left in explain, and describe the new lines

A request that only paused endpoints could serve is refused with their soonest end; its line alone does not say which endpoint named it. explain adds the lines of the request's VM on endpoints that paused, left or are gone. CliMainTest has the case.

--- a/cli/src/main/kotlin/io/daisybend/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/io/daisybend/cli/ExplainCommand.kt
@@ -1,7 +1,7 @@
 /*
  * Shows the history of a request, an engine or a model from the collected logs of all VMs: the lines that mention its
  * id, in time order. For a request, it adds lines about events that may have affected it: orders for its model,
- * hand-overs of the order duty, and lost dependencies.
+ * hand-overs of the order duty, lost dependencies, and endpoints that paused or left.
  */
 package io.daisybend.cli
 
@@ -87,8 +87,11 @@
         val tookMs = last.text("tookMs")?.toLongOrNull() ?: 0L
         val from = last.time.minusMillis(tookMs + LOOKBACK_MS)
         val model = last.text("model")?.substringBefore('/')
+        val vm = last.text("vm")
         return lines.filter { it.time in from..last.time && it !in matching }
-            .filter { line -> isAboutModel(line, model) || isAboutDependency(line, last.text("vm")) }
+            .filter { line ->
+                isAboutModel(line, model) || isAboutDependency(line, vm) || isAboutEndpoint(line, vm)
+            }
             .map { CollectedLine(it.time, it.fields, isRelated = true) }
     }
 
@@ -101,6 +104,9 @@
         line.event.startsWith("duty-turn") ||
             (line.text("vm") == vm && dependencyEvents.any { line.event.endsWith(it) })
 
+    private fun isAboutEndpoint(line: CollectedLine, vm: String?): Boolean =
+        line.text("vm") == vm && line.event in endpointEvents
+
     private companion object {
         /**
          * Time before a request's arrival, in milliseconds, in which related lines are searched; long enough to include
@@ -108,6 +114,7 @@
          */
         const val LOOKBACK_MS = 6_000L
         val orderEvents = setOf("order-sent", "order-answered", "load-ended")
+        val endpointEvents = setOf("endpoint-paused", "endpoint-leaving", "endpoint-gone")
         val dependencyEvents = listOf("-lost", "-regained", "-in-force", "started", "stopping")
     }
 }
--- a/cli/src/test/kotlin/io/daisybend/cli/CliMainTest.kt
+++ b/cli/src/test/kotlin/io/daisybend/cli/CliMainTest.kt
@@ -87,6 +87,21 @@
         lines[1] shouldContain "r1"
     }
 
+    test("explain shows the endpoints that paused or left on the VM of a refused request") {
+        fun line(second: Int, vm: String, event: String, fields: String) =
+            """12.5 $vm {"@timestamp":"2026-12-04T08:00:0${second}Z","message":"$event","vm":"$vm",$fields}"""
+        val log = listOf(
+            line(1, "vm-1", "endpoint-paused", """"endpoint":"e1","bornMs":1,"leftMs":5000"""),
+            line(2, "vm-1", "endpoint-leaving", """"endpoint":"e2","bornMs":1,"source":"response""""),
+            line(2, "vm-2", "endpoint-paused", """"endpoint":"e1","bornMs":1,"leftMs":9000"""),
+            line(4, "vm-1", "request", """"request":"r1","tookMs":1,"status":503,"cause":"take no requests""""),
+        )
+        val lines = run("explain", "r1", createFile(log.joinToString("\n"))).out.trim().lines()
+        lines.size shouldBe 3
+        lines[0] shouldContain "endpoint-paused"
+        lines[1] shouldContain "endpoint-leaving"
+    }
+
     test("an id that no log mentions exits with code 2") {
         run("explain", "r1", createFile("{}")).exitCode shouldBe 2
     }
