--- a/review/standins/PausedStream.java
+++ b/review/standins/PausedStream.java
@@ -12,7 +12,6 @@
         Rig.Engine one = rig.new Engine("e-1", "llm", Set.of("m1")), two = rig.new Engine("e-2", "llm", Set.of("m1"));
         AtomicReference<String> watched = new AtomicReference<>();
         AtomicReference<Rig.Engine> runner = new AtomicReference<>();
-        AtomicBoolean hasEngineEnded = new AtomicBoolean();
         for (Rig.Engine engine : List.of(one, two)) {
             engine.handler = (m, in, out, s) -> {
                 if (!m.header("X-Daisybend-Attempt-Id").equals(watched.get())) { engine.stream(m, in, out, s); return; }
@@ -40,7 +39,6 @@
                 }
                 out.write("0\r\n\r\n".getBytes());
                 out.flush();
-                hasEngineEnded.set(true);
             };
         }
         rig.configure(1, Rig.route("review", "streaming", "llm", 17000, 3000, true), Rig.modelService("llm", 1),
@@ -58,13 +56,9 @@
         long stopAtMs = rig.nowMs();
         stopped.signal("TERM");
         Rig.sleep(300);
-        Rig.Call call = new Object() {
-            Rig.Call start() {
-                Rig.Call c = rig.send(stopped.front, null, "POST", "/review/1", HEADERS, "prompt".getBytes(), 17_000);
-                watched.set(c.id);
-                return c;
-            }
-        }.start();
+        String id = String.format("%016x", new Random().nextLong());
+        watched.set(id);
+        Rig.Call call = rig.send(id, stopped.front, null, "POST", "/review/1", HEADERS, "prompt".getBytes(), 17_000);
         call.join();
         long endedMs = call.endedAtMs - stopAtMs;
         if (runner.get() == null) return 2;
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -542,7 +542,7 @@
 
     /** One request of a caller and what came of it. */
     final class Call {
-        final String id = String.format("%016x", ThreadLocalRandom.current().nextLong());
+        final String id;
         volatile long sentAtMs = -1, endedAtMs = -1;
         volatile int status = 0;
         /** "answered", "no answer: ...", "incomplete: ..." or "timed out". */
@@ -550,12 +550,20 @@
         volatile Message response;
         Thread thread;
 
+        Call(String id) { this.id = id; }
+
         void join() throws InterruptedException { if (thread != null) thread.join(); }
     }
 
     /** Sends one request on a new connection or on [kept] and reads its response in a thread. */
     Call send(int port, Socket kept, String method, String path, String headers, byte[] body, long waitMs) {
-        Call call = new Call();
+        String id = String.format("%016x", ThreadLocalRandom.current().nextLong());
+        return send(id, port, kept, method, path, headers, body, waitMs);
+    }
+
+    /** As above, for the attempt [id]. */
+    Call send(String id, int port, Socket kept, String method, String path, String headers, byte[] body, long waitMs) {
+        Call call = new Call(id);
         call.thread = spawn(() -> {
             try {
                 Socket s = kept != null ? kept : new Socket(HOST, port);
