Review case 4: an engine is ordered to load a ninth adapter into eight places

Cause: EngineTracker takes an adapter as unloaded once its unload is accepted, although an unload waits for the runs, and the runs of a frozen VM are not counted.

The case freezes a VM while an engine runs its stream with an adapter. The other VM has that adapter unloaded and orders a further one at once.

--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -338,6 +338,15 @@
         long loadMs = 6000, diskMs = 800;
         int orderCount = 0;
         boolean busy = false;
+        int adapterSlots = 8;
+        long adapterLoadMs = 8;
+        /** Adapters as MODEL/NAME: those that take a place, those that can be used, and the number of runs of each. */
+        final Set<String> adapterPlaces = new TreeSet<>(), adapters = new TreeSet<>();
+        final Map<String, Integer> adapterRuns = new TreeMap<>();
+        /** Adapters whose unloading waits for runs to end. */
+        final Set<String> adaptersLeaving = new TreeSet<>();
+        /** What was wrong with the first order that asked for more than the engine holds, or null. */
+        volatile String overload;
         volatile String state = "ready";
         volatile boolean isAlive = true;
         /** Ids of the requests that this engine got, and of those that it ran to the end. */
@@ -361,7 +370,9 @@
             b.append("\"busy\":").append(busy).append(",\"born\":").append(born);
             if (models != null) {
                 b.append(",\"models\":[").append(String.join(",", models.stream().map(m -> "{\"name\":\"" + m
-                    + "\",\"version\":1,\"adapters\":[]}").toList())).append("],\"atHand\":{\"inMemory\":[],\"onDisk\":["
+                    + "\",\"version\":1,\"adapters\":[" + String.join(",", adapters.stream()
+                    .filter(a -> a.startsWith(m + "/")).map(a -> "\"" + a.substring(m.length() + 1) + "\"").toList())
+                    + "]}").toList())).append("],\"atHand\":{\"inMemory\":[],\"onDisk\":["
                     + String.join(",", onDisk.stream().map(m -> "\"" + m + "\"").toList()) + "]}");
             }
             return b.toString();
@@ -392,13 +403,24 @@
             String model = m.header("X-Daisybend-Model");
             if (models != null && model != null) {
                 boolean holds;
-                synchronized (this) { holds = models.contains(model); }
-                if (!holds) { respond(out, 421, own, new byte[0]); return; }
+                boolean isLeaving;
+                synchronized (this) {
+                    holds = model.contains("/") ? adapters.contains(model) : models.contains(model);
+                    isLeaving = adaptersLeaving.contains(model);
+                    if (holds && !isLeaving && model.contains("/")) adapterRuns.merge(model, 1, Integer::sum);
+                }
+                String echo = "X-Daisybend-Attempt-Id: " + m.header("X-Daisybend-Attempt-Id") + "\r\n";
+                if (!holds) { respond(out, 421, own + echo, new byte[0]); return; }
+                if (isLeaving) { respond(out, 503, echo + "X-Daisybend-Not-Executed: 1\r\n", new byte[0]); return; }
             }
             String attempt = m.header("X-Daisybend-Attempt-Id");
             got.add(attempt);
-            note("engine " + id + " got " + attempt + " " + m.target());
-            handler.run(m, in, out, s);
+            note("engine " + id + " got " + attempt + " " + m.target() + (model == null ? "" : " " + model));
+            try {
+                handler.run(m, in, out, s);
+            } finally {
+                if (models != null && model != null && model.contains("/")) endAdapterRun(model);
+            }
             done.add(attempt);
             note("engine " + id + " answered " + attempt);
         }
@@ -430,12 +452,60 @@
             return f.find() ? f.group(1) : null;
         }
 
+        /** Ends the engine with all its connections. */
+        void crash() {
+            note("engine " + id + " crashes");
+            isAlive = false;
+            try {
+                server.listening.close();
+                for (Socket s : server.sockets) s.close();
+            } catch (IOException closed) {
+                note("engine " + id + ": " + closed.getMessage());
+            }
+        }
+
+        /** Drops an adapter whose unloading has waited for its last run. */
+        private synchronized void endAdapterRun(String adapter) {
+            if (adapterRuns.merge(adapter, -1, Integer::sum) > 0) return;
+            if (!adaptersLeaving.remove(adapter)) return;
+            adapters.remove(adapter);
+            adapterPlaces.remove(adapter);
+            note("engine " + id + " has dropped " + adapter + " after its last run");
+        }
+
+        /** Carries out the order for [adapter] of a model; loading and unloading don't make the engine busy. */
+        private int orderAdapter(boolean isLoad, String adapter) {
+            if (isLoad == adapterPlaces.contains(adapter)) return 200;
+            orderCount++;
+            if (isLoad) {
+                if (adapterPlaces.size() >= adapterSlots) {
+                    overload = "load of " + adapter + " while the engine holds " + adapterPlaces + ", runs " + adapterRuns;
+                    note("engine " + id + " ordered to load more than adapterSlots " + adapterSlots + " hold: " + overload);
+                    crash();
+                    return 503;
+                }
+                adapterPlaces.add(adapter);
+                spawn(() -> { sleep(adapterLoadMs); synchronized (Engine.this) { adapters.add(adapter); } });
+                return 202;
+            }
+            if (adapterRuns.getOrDefault(adapter, 0) > 0) {
+                adaptersLeaving.add(adapter);
+                return 202;
+            }
+            adapters.remove(adapter);
+            adapterPlaces.remove(adapter);
+            return 200;
+        }
+
         private void order(Message m, OutputStream out) throws IOException {
             String text = m.text(), model = field(text, "model"), expect = field(text, "expect");
+            String adapter = field(text, "adapter");
             boolean isLoad = "load".equals(field(text, "opcode"));
             int status;
             synchronized (this) {
-                if (busy || (expect != null && Integer.parseInt(expect) != orderCount)) status = 409;
+                if (expect != null && Integer.parseInt(expect) != orderCount) status = 409;
+                else if (adapter != null) status = orderAdapter(isLoad, model + "/" + adapter);
+                else if (busy || (expect != null && Integer.parseInt(expect) != orderCount)) status = 409;
                 else if (isLoad == models.contains(model)) status = 200;
                 else {
                     status = 202;
@@ -615,11 +685,13 @@
             + ",\"sticky\":" + kind.equals("streaming") + "}";
     }
 
-    static String modelService(String name, int models) {
+    static String modelService(String name, int models) { return modelService(name, models, 0); }
+
+    static String modelService(String name, int models, int adapters) {
         List<String> list = new ArrayList<>();
         for (int i = 1; i <= models; i++) {
             list.add("{\"name\":\"m" + i + "\",\"weightsMb\":72700,\"loadS\":6.0,\"diskS\":0.84,\"warmS\":0.4,"
-                + "\"adapters\":0,\"adapterMb\":40}");
+                + "\"adapters\":" + adapters + ",\"adapterMb\":40}");
         }
         return "{\"name\":\"" + name + "\",\"healthCheck\":\"/healthz\",\"maxConns\":370,\"engine\":{\"slots\":64,"
             + "\"kvCapacity\":232000,\"weightsMb\":140000,\"adapterSlots\":8,\"hostMb\":0,\"diskMb\":540000,"
