--- a/review/standins/PausedStream.java
+++ b/review/standins/PausedStream.java
@@ -41,7 +41,7 @@
                 out.flush();
             };
         }
-        rig.configure(1, Rig.route("review", "streaming", "llm", 17000, 3000, true), Rig.modelService("llm", 1),
+        rig.configure(1, Rig.route("review", "streaming", "llm", 15000, 2500, true), Rig.modelService("llm", 1),
             Rig.tenant("red", "k1"));
         Rig.Vm stopped = rig.new Vm("vm-1"), other = rig.new Vm("vm-2");
         stopped.start();
@@ -58,7 +58,7 @@
         Rig.sleep(300);
         String id = String.format("%016x", new Random().nextLong());
         watched.set(id);
-        Rig.Call call = rig.send(id, stopped.front, null, "POST", "/review/1", HEADERS, "prompt".getBytes(), 17_000);
+        Rig.Call call = rig.send(id, stopped.front, null, "POST", "/review/1", HEADERS, "prompt".getBytes(), 15_000);
         call.join();
         long endedMs = call.endedAtMs - stopAtMs;
         if (runner.get() == null) return 2;
@@ -73,6 +73,6 @@
         + "X-Daisybend-Prompt-Prefix: a1:2520,b1:3780,c1:2890\r\n";
 
     static Rig.Call ask(Rig rig, Rig.Vm vm) {
-        return rig.send(vm.front, null, "POST", "/review/1", HEADERS, "prompt".getBytes(), 17_000);
+        return rig.send(vm.front, null, "POST", "/review/1", HEADERS, "prompt".getBytes(), 15_000);
     }
 }
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -695,7 +695,7 @@
         }
         return "{\"name\":\"" + name + "\",\"healthCheck\":\"/healthz\",\"maxConns\":370,\"engine\":{\"slots\":64,"
             + "\"kvCapacity\":232000,\"weightsMb\":140000,\"adapterSlots\":8,\"hostMb\":0,\"diskMb\":540000,"
-            + "\"loadsPerS\":1.6,\"models\":[" + String.join(",", list) + "]}}";
+            + "\"loadsPerS\":2.8,\"models\":[" + String.join(",", list) + "]}}";
     }
 
     static String plainService(String name) {
--- a/review/standins/StopWhileLoading.java
+++ b/review/standins/StopWhileLoading.java
@@ -7,7 +7,7 @@
     static int run(Rig rig) throws Exception {
         Rig.Engine engine = rig.new Engine("e-1", "llm", Set.of("m1"));
         rig.new Engine("d-1", "desk", null);
-        rig.configure(1, Rig.route("review", "streaming", "llm", 17000, 3000, true) + ","
+        rig.configure(1, Rig.route("review", "streaming", "llm", 15000, 2500, true) + ","
             + Rig.route("check", "safe", "desk", 1500, 193, false),
             Rig.modelService("llm", 12) + "," + Rig.plainService("desk"), Rig.tenant("red", "k1"));
         Rig.Vm stopped = rig.new Vm("vm-1"), other = rig.new Vm("vm-2");
@@ -45,7 +45,7 @@
     static Rig.Call ask(Rig rig, Rig.Vm vm, String model) {
         return rig.send(vm.front, null, "POST", "/review/1", "X-Daisybend-Model: " + model
             + "\r\nX-Daisybend-Token-Usage: 9190,52\r\nX-Daisybend-Prompt-Prefix: a1:2520,b" + model + ":3780,c1:2890\r\n",
-            "prompt".getBytes(), 17_000);
+            "prompt".getBytes(), 15_000);
     }
 
     /** Returns the model without a copy on the engine that is the [n]th from the end of the list. */
--- a/review/standins/StreamAtTwoEngines.java
+++ b/review/standins/StreamAtTwoEngines.java
@@ -44,7 +44,7 @@
                 out.flush();
             };
         }
-        rig.configure(1, Rig.route("review", "streaming", "llm", 17000, 3000, true), Rig.modelService("llm", 1),
+        rig.configure(1, Rig.route("review", "streaming", "llm", 15000, 2500, true), Rig.modelService("llm", 1),
             Rig.tenant("red", "k1"));
         Rig.Vm vm = rig.new Vm("vm-1"), other = rig.new Vm("vm-2");
         vm.start();
@@ -54,7 +54,7 @@
         Rig.sleep(6_000);
         String id = String.format("%016x", new Random().nextLong());
         watched.set(id);
-        Rig.Call call = rig.send(id, vm.front, null, "POST", "/review/1", PausedStream.HEADERS, "prompt".getBytes(), 17_000);
+        Rig.Call call = rig.send(id, vm.front, null, "POST", "/review/1", PausedStream.HEADERS, "prompt".getBytes(), 15_000);
         call.join();
         if (first.get() == null || !Rig.await(5_000, () -> firstEndedAtMs.get() >= 0)) return 2;
         long second = secondBeganAtMs.get(), end = firstEndedAtMs.get();
