Wait for the release of a body's memory in tests of the memory budget

The log shows "no room for the request's body" 4 ms after the response before it. The memory of a body is released after its response was written, so a caller that is quick enough finds the budget of the test (10,000 bytes) still taken by its own last body of 9,000 bytes.

The tests now wait until the gauge of the memory in use shows 0 before each call. They are stricter: memory that is never released fails them too.

--- a/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EntryVmTest.kt
@@ -206,7 +206,11 @@
             queueForAll(Behaviour.LARGE_RESPONSE)
             connect().call("POST", "/once/x", "1").status shouldBe 502
             endpoints.forEach { it.behaviours.clear() }
-            repeat(3) { connect().call("POST", "/once/x", "b".repeat(9_000)).status shouldBe 200 }
+            repeat(3) {
+                // The memory of a body is released just after its response was written.
+                eventually(2.seconds) { readMetrics(metrics()).getValue("daisybend_body_bytes") shouldBe 0.0 }
+                connect().call("POST", "/once/x", "b".repeat(9_000)).status shouldBe 200
+            }
         }
     }
 
@@ -245,7 +249,11 @@
             large.head.headers.any { it.name == "Retry-After" } shouldBe true
             large.head.keepAlive shouldBe false
             ran.shouldBeEmpty()
-            repeat(3) { connect().call("POST", "/once/x", "b".repeat(9_000)).status shouldBe 200 }
+            repeat(3) {
+                // The memory of a body is released just after its response was written.
+                eventually(2.seconds) { readMetrics(metrics()).getValue("daisybend_body_bytes") shouldBe 0.0 }
+                connect().call("POST", "/once/x", "b".repeat(9_000)).status shouldBe 200
+            }
         }
     }
 
