Keep a silent stream at its engine until another one has accepted it

What callers saw: a stream whose sound engine paused (its memory had run out, and the stream was to be read anew) was broken off during a planned stop (LOST).

Cause: after 1.2 s without an event the relay closed the connection to the engine as soon as another engine held the model. The second engine had not been asked yet; when it was full, nothing brought the first one back, and five sends within 0.9 s ended the answer. The same before the first event, after 4 s.

Ruled out: a longer timeout alone. It moves the point at which a refusal ends a stream that would have gone on. Also asking the engine for its runs: an engine that is silent as a whole answers no question either, and the list of runs need not contain a preempted one.

Change: SilenceLimits decides when to offer the rest: after three quarters of the gap after which callers leave, or after 1.2 s if the engine accepts no connections. SilentEngineHandover offers it while the first engine keeps the stream; only the head of another engine's success ends the first one. Refused offers are no attempts of the request. The parts of RequestSender that send and that record what endpoints say are classes of their own, since offers need them too. A response that arrives as its wait ends is kept or closed by its send: its connection was left open before.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/AdmittedRequest.kt
@@ -26,9 +26,13 @@
     val firstEventDeadlineAtMs: Long
         get() = minOf(
             deadlineAtMs,
-            arrivedAtMs + maxOf(MIN_FIRST_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetLatencyMs),
+            arrivedAtMs + eventGapTimeoutMs,
         )
 
+    /** Gap after which a caller gives up a stream, also before its first event, in milliseconds. */
+    val eventGapTimeoutMs: Long
+        get() = maxOf(MIN_EVENT_GAP_TIMEOUT_MS, EVENT_GAP_TIMEOUT_FACTOR * route.targetLatencyMs)
+
     /** Ids of the prompt parts that other requests may share. */
     val sharedPartIds: List<String> =
         caller.demand?.sharedParts?.map { it.id }?.filter { it.length <= MAX_PART_ID_CHARS }.orEmpty()
@@ -50,6 +54,6 @@
 /** Longer ids of parts are not compared: several times the length of a hash. */
 private const val MAX_PART_ID_CHARS = 128
 
-/** Minimum wait of callers for a first event, in milliseconds and in target latencies; set by the platform. */
-private const val MIN_FIRST_EVENT_TIMEOUT_MS = 2_000L
-private const val FIRST_EVENT_TIMEOUT_FACTOR = 4L
+/** Minimum gap after which callers give up a stream, in milliseconds and in target latencies; set by the platform. */
+private const val MIN_EVENT_GAP_TIMEOUT_MS = 2_000L
+private const val EVENT_GAP_TIMEOUT_FACTOR = 4L
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -235,6 +235,11 @@
     fun hasAlternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Boolean =
         choose(admitted, candidates) is EndpointChoice.Send
 
+    /** Returns the endpoint among [candidates] that [admitted] may be sent to without a wait, or null. */
+    fun alternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Endpoint? =
+        (choose(admitted, candidates) as? EndpointChoice.Send)?.endpoint
+            ?.takeIf { rateLimiter.admit(it.incarnation, steadyMs()) }
+
     /** Returns when [admitted], turned away by an endpoint, could be served if it came again, in milliseconds. */
     fun servedInMs(admitted: AdmittedRequest, version: SoftwareVersion?): Long =
         when (val choice = choose(admitted, EndpointCandidates(emptySet(), version))) {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -51,7 +51,10 @@
         val head: ResponseHead,
         val headers: EndpointResponseHeaders,
         val exchange: EndpointExchange,
-    ) : SendStart
+    ) : SendStart {
+        /** Whether the response is a success that an endpoint has sealed. */
+        val isAcceptance: Boolean get() = head.status in SUCCESS && headers.sealed && !headers.didNotRun
+    }
 }
 
 /** A request and its response in progress on one connection. */
@@ -187,6 +190,7 @@
 
 private val methodsWithoutBody = setOf("GET", "HEAD", "DELETE", "OPTIONS")
 private const val FIRST_FINAL_STATUS = 200
+private val SUCCESS = 200..299
 private const val MAX_RESPONSE_HEAD_BYTES = 32_768
 private const val MAX_UNRELATED_RESPONSES = 3
 private const val MAX_UNRELATED_BODY_BYTES = 1_048_576
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -0,0 +1,108 @@
+/*
+ * Offers the request of a silent engine to other engines. An engine has accepted it once it sends the head of a
+ * successful response; the request is then ended at the silent engine.
+ */
+package io.daisybend.entry.exchange
+
+import io.daisybend.entry.EventLog
+import io.daisybend.serving.endpoint.Endpoint
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** The engine that has a request, and what another one needs to go on with it. */
+internal class OfferedRequest(val engine: Endpoint, val lastEventId: String?, val failedEndpoints: Set<String>)
+
+/** Offers [admitted], whose current state [offered] returns, to other engines. */
+internal class EngineOffers(
+    private val admitted: AdmittedRequest,
+    private val endpointPool: EndpointPool,
+    private val endDetector: EngineEndDetector,
+    private val sends: RequestSends,
+    private val recorder: SendRecorder,
+    private val log: EventLog,
+    private val steadyMs: () -> Long,
+    private val offered: () -> OfferedRequest?,
+) : RequestOffers {
+    /** Scope of writes that go on after the return of an offer. */
+    lateinit var writeScope: CoroutineScope
+
+    /** The send of the engine that has accepted the request, or null. */
+    @Volatile
+    var accepted: Send? = null
+        private set
+
+    /** Returns and forgets the send of the engine that has accepted the request. */
+    fun takeAccepted(): Send? = accepted.also { accepted = null }
+
+    override suspend fun hasEngineEnded(): Boolean {
+        val request = offered() ?: return false
+        return endpointPool.hasAlternative(admitted, others(request)) && endDetector.hasEnded(request.engine)
+    }
+
+    override suspend fun offer(): Boolean {
+        val request = offered() ?: return false
+        val endpoint = chooseOther(request) ?: return false
+        val send = sends.begin(endpoint)
+        try {
+            withTimeoutOrNull(OFFER_TIMEOUT_MS) { sends.transmit(send, request.lastEventId, writeScope) }
+            if (send.received?.isAcceptance == true) accepted = send else onRefused(send)
+        } finally {
+            if (accepted !== send) sends.end(send)
+        }
+        return accepted === send
+    }
+
+    override fun withdraw() {
+        val send = takeAccepted() ?: return
+        send.received?.exchange?.abort()
+        sends.end(send)
+    }
+
+    private fun chooseOther(request: OfferedRequest): Endpoint? {
+        val mayOffer = sends.attempts < admitted.route.maxAttempts &&
+            sends.refusedOffers < MAX_REFUSED_OFFERS &&
+            admitted.deadlineAtMs - steadyMs() > MIN_OFFER_TIME_MS &&
+            endpointPool.hasAlternative(admitted, others(request)) &&
+            endpointPool.takeRetry(admitted.service.name)
+        return if (mayOffer) endpointPool.alternative(admitted, others(request)) else null
+    }
+
+    private fun others(request: OfferedRequest) = EndpointCandidates(
+        request.failedEndpoints + request.engine.incarnation.id,
+        request.engine.entry.softwareVersion,
+        mayHaveRun = true,
+    )
+
+    private fun onRefused(send: Send) {
+        sends.refusedOffers++
+        when (val start = send.start) {
+            is SendStart.NotSent -> recorder.onNotSent(send.endpoint, start)
+            is SendStart.NoResponse -> recorder.onNoResponse(send.endpoint, start)
+            is SendStart.HeadReceived -> onRefusedBy(send.endpoint, start)
+            null -> Unit
+        }
+        log.write(
+            "offer-refused",
+            "request" to admitted.request.attemptId,
+            "endpoint" to send.endpoint.incarnation.id,
+            "status" to send.received?.head?.status,
+        )
+    }
+
+    private fun onRefusedBy(endpoint: Endpoint, response: SendStart.HeadReceived) {
+        if (response.headers.didNotRun) return recorder.onRejection(endpoint, response)
+        endpointPool.outcomes.recordFailure(endpoint)
+        response.exchange.abort()
+    }
+
+    private companion object {
+        /** Time in which an engine must accept an offer, in milliseconds: the reading of a long prompt. */
+        const val OFFER_TIMEOUT_MS = 2_000L
+
+        /** Offers of one request that engines may refuse. */
+        const val MAX_REFUSED_OFFERS = 4
+
+        /** Minimum time left for an offer, in milliseconds. */
+        const val MIN_OFFER_TIME_MS = 60L
+    }
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -8,12 +8,7 @@
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.http.BodyFraming
 import io.daisybend.entry.http.ConnectionPool
-import io.daisybend.platform.EndpointResponseHeaders
-import io.daisybend.platform.RequestLimit
-import io.daisybend.platform.RetryAfter
-import io.daisybend.platform.SendHeaders
 import io.daisybend.platform.attemptIdHeader
-import io.daisybend.platform.isOtherInstance
 import io.daisybend.platform.retryAfterHeader
 import io.daisybend.serving.attempt.AttemptHistory
 import io.daisybend.serving.attempt.NextStep
@@ -23,14 +18,13 @@
 import io.daisybend.serving.quarantine.SuspectRequest
 import io.daisybend.serving.site.RouteKind
 import io.daisybend.serving.stream.Continuation
+import io.daisybend.serving.stream.SilenceLimits
 import io.daisybend.serving.stream.SoftwareVersion
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.launch
-import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Result of one send; [requestOutcome] is set if the caller has received its response. */
@@ -50,15 +44,20 @@
 internal class RequestSender(
     private val connection: CallerConnection,
     private val admitted: AdmittedRequest,
-    private val connectionPool: ConnectionPool,
+    connectionPool: ConnectionPool,
     private val endpointPool: EndpointPool,
     private val endDetector: EngineEndDetector,
     responseMemory: BodyMemory,
     private val log: EventLog,
     private val steadyMs: () -> Long,
 ) {
+    private val sends = RequestSends(admitted, connectionPool, endpointPool, steadyMs)
+    private val recorder = SendRecorder(admitted, endpointPool.outcomes, log, steadyMs)
+    private val offers =
+        EngineOffers(admitted, endpointPool, endDetector, sends, recorder, log, steadyMs, ::offeredRequest)
+
     /** Ids of the endpoints that the request was sent to, in order. */
-    val endpointsUsed = ArrayList<String>()
+    val endpointsUsed: List<String> get() = sends.endpointsUsed
 
     /** Records that the caller left before the end of its response. */
     fun onCallerLeft() = streamBinding.onInterrupted()
@@ -81,6 +80,7 @@
     val eventCount: Int get() = lastExchange?.progress?.eventCount ?: 0
 
     private val streamBinding = endpointPool.bindStream(admitted)
+    private val handover = SilentEngineHandover(offers, steadyMs)
     private val relay =
         ResponseRelay(
             connection,
@@ -89,8 +89,8 @@
             endDetector,
             streamBinding,
             responseMemory,
+            handover,
             steadyMs,
-            ::mayResumeElsewhere,
         )
     private val failedEndpoints = HashSet<String>()
 
@@ -106,16 +106,27 @@
 
     /** Sends the request until the caller has a response; unfinished writes of a send continue in [scope]. */
     suspend fun sendUntilAnswered(scope: CoroutineScope): RequestOutcome {
+        offers.writeScope = scope
+        try {
+            return sendRepeatedly(scope)
+        } finally {
+            offers.withdraw()
+        }
+    }
+
+    private suspend fun sendRepeatedly(scope: CoroutineScope): RequestOutcome {
         while (true) {
-            val waitStartedAtMs = steadyMs()
-            val selection = select()
-            waitedMs += steadyMs() - waitStartedAtMs
-            val endpoint = when (selection) {
-                is EndpointSelection.Selected -> selection.endpoint
+            val send = offers.takeAccepted() ?: when (val selection = selectAndCount()) {
+                is EndpointSelection.Selected -> sends.begin(selection.endpoint)
                 is EndpointSelection.Unavailable -> return onUnavailable(selection)
             }
-            val result = sendOnce(scope, endpoint)
+            val result = complete(scope, send)
             result.requestOutcome?.let { return it }
+            if (offers.accepted != null) {
+                onHandedOver(send.endpoint, result)
+                continue
+            }
+            val endpoint = send.endpoint
             val endCheck = if (isSuspect(result)) endDetector.onBroken(endpoint, suspectRequest(result)) else null
             when (decideNextStep(result, endpoint)) {
                 NextStep.SendElsewhere -> endCheck?.join()
@@ -128,6 +139,26 @@
         }
     }
 
+    private suspend fun selectAndCount(): EndpointSelection {
+        val waitStartedAtMs = steadyMs()
+        return select().also { waitedMs += steadyMs() - waitStartedAtMs }
+    }
+
+    private fun offeredRequest(): OfferedRequest? =
+        lastExchange?.let { OfferedRequest(it.endpoint, relay.lastEventId, failedEndpoints.toSet()) }
+
+    private fun onHandedOver(silent: Endpoint, result: SendResult) {
+        failedEndpoints.add(silent.incarnation.id)
+        log.write(
+            "handed-over",
+            "request" to admitted.request.attemptId,
+            "from" to silent.incarnation.id,
+            "to" to offers.accepted?.endpoint?.incarnation?.id,
+            "reason" to result.reason,
+            "events" to lastExchange?.progress?.eventCount,
+        )
+    }
+
     /** Answers a caller whose request this VM can't finish because it stops; ends a response that has begun. */
     suspend fun answerAtShutdown(): RequestOutcome {
         val reason = "this VM stopped before the response was complete"
@@ -163,7 +194,7 @@
             endpointPool.outcomes.isPaused(endpoint) ||
             (result.outcome is SendOutcome.RejectedUnrun && admitted.service.engine != null)
         if (!mayAcceptLater) failedEndpoints.add(endpoint.incarnation.id)
-        val history = AttemptHistory(endpointsUsed.size, mayHaveRun)
+        val history = AttemptHistory(sends.attempts, mayHaveRun)
         val step = nextStep(admitted.route, history, result.outcome, remainingMs) {
             endpointPool.takeRetry(admitted.service.name)
         }
@@ -203,121 +234,64 @@
         return RequestOutcome(STATUS_BAD_GATEWAY, "broken off: $reason", "unknown")
     }
 
-    private suspend fun sendOnce(scope: CoroutineScope, endpoint: Endpoint): SendResult {
-        val wasSentThere = endpoint.incarnation.id in endpointsUsed
-        endpointsUsed.add(endpoint.incarnation.id)
-        val tracked = endpointPool.exchanges.begin(endpoint, admitted.caller.demand)
-        lastExchange = tracked
-        var exchange: EndpointExchange? = null
+    /** Waits for the response to [send] unless there is one, and passes it to the caller. */
+    private suspend fun complete(scope: CoroutineScope, send: Send): SendResult {
+        lastExchange = send.tracked
         isSending = true
         try {
-            val startResult = withTimeoutOrNull(responseTimeoutMs()) {
-                unlessQuarantined {
-                    startSend(
-                        connectionPool,
-                        scope,
-                        admitted.request,
-                        endpoint,
-                        sendHeaders(endpoint),
-                        connectTimeoutMs(),
-                        needsNewConnection = wasSentThere,
-                        guardOf(endpoint),
-                    )
-                }
-            } ?: SendStart.NoResponse("no answer in time")
-            if (startResult is SendStart.HeadReceived) exchange = startResult.exchange
+            val start = send.start ?: awaitFirstResponse(scope, send)
             isSending = false
-            return when (startResult) {
+            return when (start) {
                 is SendStart.NotSent -> {
-                    if (!startResult.isWithheld) endpointPool.outcomes.recordUnreachable(endpoint)
-                    endpointPool.outcomes.recordUnsent(endpoint)
-                    SendResult(SendOutcome.NotSent, startResult.reason, isWithheld = startResult.isWithheld)
-                }
-                is SendStart.NoResponse -> {
-                    mayHaveRun = true
-                    if (remainingMs > 0 && !startResult.withdrawn) endpointPool.outcomes.recordFailure(endpoint)
-                    SendResult(
-                        SendOutcome.Unknown,
-                        startResult.reason,
-                        connectionEnded = startResult.connectionEnded,
-                        headReceived = false,
-                    )
+                    recorder.onNotSent(send.endpoint, start)
+                    SendResult(SendOutcome.NotSent, start.reason, isWithheld = start.isWithheld)
                 }
-                is SendStart.HeadReceived -> onResponse(endpoint, startResult, tracked)
+                is SendStart.NoResponse -> onNoResponse(send.endpoint, start)
+                is SendStart.HeadReceived -> onResponse(send.endpoint, start, send.tracked)
             }
         } finally {
-            exchange?.finish()
-            endpointPool.exchanges.end(tracked)
-        }
-    }
-
-    private fun guardOf(endpoint: Endpoint) = object : SendGuard {
-        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint)
-
-        override fun onHead(headers: EndpointResponseHeaders) {
-            if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
-        }
-    }
-
-    /** Runs [send], or cancels it once the prompt is quarantined: an engine that has not begun the answer drops it. */
-    private suspend fun unlessQuarantined(send: suspend () -> SendStart): SendStart {
-        if (admitted.sharedPartIds.isEmpty()) return send()
-        return coroutineScope {
-            val sending = async { send() }
-            val quarantined = launch { endpointPool.awaitQuarantine(admitted) }
-            select {
-                sending.onAwait { it }
-                quarantined.onJoin { takeBack(sending) }
-            }.also { quarantined.cancel() }
+            handover.reset()
+            sends.end(send)
         }
     }
 
-    /** Cancels [sending], unless the endpoint has already responded. */
-    private suspend fun takeBack(sending: Deferred<SendStart>): SendStart {
-        sending.cancel()
-        return try {
-            sending.await()
-        } catch (expectedCancellation: CancellationException) {
-            SendStart.NoResponse("its prompt parts were quarantined", withdrawn = true)
+    /** Waits for the response to [send]; a silent engine keeps the request until another one has accepted it. */
+    private suspend fun awaitFirstResponse(scope: CoroutineScope, send: Send): SendStart {
+        val startedAtMs = steadyMs()
+        val isHandedOver = withTimeoutOrNull(remainingMs.coerceAtLeast(1)) {
+            coroutineScope {
+                val sending = async(start = CoroutineStart.UNDISPATCHED) {
+                    sends.transmit(send, relay.lastEventId, scope)
+                }
+                val hasStarted = !admitted.route.resumable ||
+                    handover.awaitStep(this, sending, startedAtMs, SilenceLimits.firstResponse)
+                if (hasStarted) handover.cancelOffer() else sending.cancelAndJoin()
+                !hasStarted
+            }
         }
+        if (isHandedOver != true) return send.start ?: SendStart.NoResponse("no answer in time")
+        send.received?.exchange?.abort()
+        return SendStart.NoResponse("no answer, and another engine has accepted the request")
     }
 
-    /**
-     * Returns the timeout for the response head. An engine that does not respond is given up before the deadline only
-     * if the request may be sent to another one.
-     */
-    private fun responseTimeoutMs(): Long {
-        val hasAttemptLeft = admitted.route.resumable && endpointsUsed.size < admitted.route.maxAttempts
-        return remainingMs.coerceIn(1, if (hasAttemptLeft) FIRST_RESPONSE_TIMEOUT_MS else Long.MAX_VALUE)
+    private fun onNoResponse(endpoint: Endpoint, start: SendStart.NoResponse): SendResult {
+        mayHaveRun = true
+        recorder.onNoResponse(endpoint, start)
+        val isEnded = start.connectionEnded
+        return SendResult(SendOutcome.Unknown, start.reason, connectionEnded = isEnded, headReceived = false)
     }
 
-    /** Whether another engine could go on with the stream now. */
-    private fun mayResumeElsewhere(): Boolean = endpointsUsed.size < admitted.route.maxAttempts &&
-        remainingMs > MIN_RETRY_TIME_MS &&
-        endpointPool.hasAlternative(
-            admitted,
-            EndpointCandidates(failedEndpoints + endpointsUsed.last(), lastExchange?.endpoint?.entry?.softwareVersion),
-        )
-
-    private fun connectTimeoutMs(): Long = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS)
-
-    private fun sendHeaders(endpoint: Endpoint) = SendHeaders(
-        deadlineMs = remainingMs.coerceAtLeast(1),
-        expectedInstance = endpoint.incarnation.id,
-        team = admitted.team?.name,
-        enginePriority = admitted.service.engine?.let { admitted.priority.coerceIn(0, LOWEST_PRIORITY) },
-        lastEventId = relay.lastEventId,
-    )
-
     private suspend fun onResponse(
         endpoint: Endpoint,
         response: SendStart.HeadReceived,
         tracked: TrackedExchange,
     ): SendResult {
         val status = response.head.status
-        recordLimit(endpoint, response)
-        if (status == STATUS_UNAVAILABLE) recordPause(endpoint, response)
-        if (response.headers.didNotRun) return onRejection(endpoint, response)
+        if (response.headers.didNotRun) {
+            recorder.onRejection(endpoint, response)
+            return SendResult(SendOutcome.RejectedUnrun(status), "status $status, not run")
+        }
+        recorder.onHead(endpoint, response)
         mayHaveRun = true
         if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
         if (!response.headers.sealed) {
@@ -333,54 +307,6 @@
         }
     }
 
-    private fun recordLimit(endpoint: Endpoint, response: SendStart.HeadReceived) {
-        when (val limit = response.headers.requestLimit) {
-            is RequestLimit.Named -> endpointPool.outcomes.recordLimit(endpoint, limit)
-            // An endpoint that rejects a request need not name its limit.
-            null -> if (!response.headers.didNotRun) endpointPool.outcomes.recordLimit(endpoint, limit = null)
-            is RequestLimit.Unreadable -> log.write(
-                "endpoint-limit-unreadable",
-                "request" to admitted.request.attemptId,
-                "endpoint" to endpoint.incarnation.id,
-                "limit" to limit.value.take(MAX_LOGGED_CHARS),
-            )
-        }
-    }
-
-    private fun recordPause(endpoint: Endpoint, response: SendStart.HeadReceived) {
-        when (val retryAfter = response.headers.retryAfter) {
-            is RetryAfter.Pause -> {
-                val leftMs = endpointPool.outcomes.recordPause(endpoint, retryAfter.pauseMs) ?: return
-                log.write(
-                    "endpoint-paused",
-                    "request" to admitted.request.attemptId,
-                    "endpoint" to endpoint.incarnation.id,
-                    "bornMs" to endpoint.incarnation.bornMs,
-                    "leftMs" to leftMs,
-                    "namedMs" to retryAfter.pauseMs.takeIf { it != leftMs },
-                )
-            }
-            is RetryAfter.Unreadable -> log.write(
-                "endpoint-pause-unreadable",
-                "request" to admitted.request.attemptId,
-                "endpoint" to endpoint.incarnation.id,
-                "retryAfter" to retryAfter.value.take(MAX_LOGGED_CHARS),
-            )
-            null -> Unit
-        }
-    }
-
-    private fun onRejection(endpoint: Endpoint, response: SendStart.HeadReceived): SendResult {
-        val status = response.head.status
-        if (!response.exchange.body.isComplete) response.exchange.abort()
-        if (isOtherInstance(status) && admitted.caller.demand == null) {
-            endpointPool.outcomes.recordUnreachable(endpoint)
-        } else {
-            endpointPool.outcomes.recordRejection(endpoint, admitted)
-        }
-        return SendResult(SendOutcome.RejectedUnrun(status), "status $status, not run")
-    }
-
     private suspend fun onEndpointFailure(
         endpoint: Endpoint,
         response: SendStart.HeadReceived,
@@ -392,7 +318,7 @@
         val outcome = SendOutcome.AnsweredFailure(status)
         val shouldRetry = status >= FIRST_SERVER_ERROR &&
             admitted.route.mayRetry &&
-            endpointsUsed.size < admitted.route.maxAttempts &&
+            sends.attempts < admitted.route.maxAttempts &&
             remainingMs > MIN_RETRY_TIME_MS &&
             endpointPool.hasAlternative(
                 admitted,
@@ -407,19 +333,8 @@
         const val STATUS_UNAVAILABLE = 503
         const val STATUS_TIMEOUT = 504
         const val FIRST_SERVER_ERROR = 500
-        const val LOWEST_PRIORITY = 9
-        const val MAX_LOGGED_CHARS = 40
         val SUCCESS = 200..299
 
-        /**
-         * Timeout for the first response to a resumable stream, in milliseconds; the request is then sent to another
-         * engine.
-         */
-        const val FIRST_RESPONSE_TIMEOUT_MS = 4_000L
-
-        /** Timeout for opening a connection, in milliseconds: a few round trips. */
-        const val CONNECT_TIMEOUT_MS = 400L
-
         /** Retry-After for a stream of unknown origin, in milliseconds: peers report within this time. */
         const val UNKNOWN_ORIGIN_RETRY_AFTER_MS = 500L
 
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -0,0 +1,127 @@
+/*
+ * The sends of one request: each opens or reuses a connection to one endpoint, writes the request and waits for the
+ * head of the response. A send is withdrawn when the prompt of its request is quarantined.
+ */
+package io.daisybend.entry.exchange
+
+import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.platform.EndpointResponseHeaders
+import io.daisybend.platform.SendHeaders
+import io.daisybend.serving.endpoint.Endpoint
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
+
+/** A send to [endpoint]; [isRepeated] if the request was sent there before. */
+internal class Send(val endpoint: Endpoint, val tracked: TrackedExchange, val isRepeated: Boolean) {
+    /** What the endpoint responded, or null. */
+    @Volatile
+    var start: SendStart? = null
+
+    /** The response, if its head was received. */
+    val received: SendStart.HeadReceived? get() = start as? SendStart.HeadReceived
+}
+
+/** The sends of [admitted]. */
+internal class RequestSends(
+    private val admitted: AdmittedRequest,
+    private val connectionPool: ConnectionPool,
+    private val endpointPool: EndpointPool,
+    private val steadyMs: () -> Long,
+) {
+    /** Ids of the endpoints that the request was sent to, in order. */
+    val endpointsUsed = ArrayList<String>()
+
+    /** Sends that were only offers and that no engine accepted. */
+    @Volatile
+    var refusedOffers = 0
+
+    /** Number of sends that count as attempts. */
+    val attempts: Int get() = endpointsUsed.size - refusedOffers
+
+    private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
+
+    /** Begins a send to [endpoint] and reserves its load until [end]. */
+    fun begin(endpoint: Endpoint): Send {
+        val isRepeated = endpoint.incarnation.id in endpointsUsed
+        endpointsUsed.add(endpoint.incarnation.id)
+        return Send(endpoint, endpointPool.exchanges.begin(endpoint, admitted.caller.demand), isRepeated)
+    }
+
+    /** Ends [send]; closes its connection unless the exchange is complete. */
+    fun end(send: Send) {
+        send.received?.exchange?.finish()
+        endpointPool.exchanges.end(send.tracked)
+    }
+
+    /**
+     * Sends the request and waits for the head of the response, which the send then has. The events after
+     * [lastEventId] are requested; a long body may still be written in [writeScope] after the return.
+     */
+    suspend fun transmit(send: Send, lastEventId: String?, writeScope: CoroutineScope) {
+        val start = unlessQuarantined {
+            // A cancellation must not lose a response that has arrived: its connection would stay open.
+            startSend(
+                connectionPool,
+                writeScope,
+                admitted.request,
+                send.endpoint,
+                headersFor(send.endpoint, lastEventId),
+                connectTimeoutMs = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS),
+                needsNewConnection = send.isRepeated,
+                guardOf(send.endpoint),
+            ).also { send.start = it }
+        }
+        if (send.start == null) send.start = start
+    }
+
+    private fun headersFor(endpoint: Endpoint, lastEventId: String?) = SendHeaders(
+        deadlineMs = remainingMs.coerceAtLeast(1),
+        expectedInstance = endpoint.incarnation.id,
+        team = admitted.team?.name,
+        enginePriority = admitted.service.engine?.let { admitted.priority.coerceIn(0, LOWEST_PRIORITY) },
+        lastEventId = lastEventId,
+    )
+
+    private fun guardOf(endpoint: Endpoint) = object : SendGuard {
+        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint)
+
+        override fun onHead(headers: EndpointResponseHeaders) {
+            if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
+        }
+    }
+
+    /** Runs [send], or cancels it once the prompt is quarantined: an engine that has not begun the answer drops it. */
+    private suspend fun unlessQuarantined(send: suspend () -> SendStart): SendStart {
+        if (admitted.sharedPartIds.isEmpty()) return send()
+        return coroutineScope {
+            val sending = async { send() }
+            val quarantined = launch { endpointPool.awaitQuarantine(admitted) }
+            select {
+                sending.onAwait { it }
+                quarantined.onJoin { takeBack(sending) }
+            }.also { quarantined.cancel() }
+        }
+    }
+
+    /** Cancels [sending], unless the endpoint has already responded. */
+    private suspend fun takeBack(sending: Deferred<SendStart>): SendStart {
+        sending.cancel()
+        return try {
+            sending.await()
+        } catch (expectedCancellation: CancellationException) {
+            SendStart.NoResponse("its prompt parts were quarantined", withdrawn = true)
+        }
+    }
+
+    private companion object {
+        const val LOWEST_PRIORITY = 9
+
+        /** Timeout for opening a connection, in milliseconds: a few round trips. */
+        const val CONNECT_TIMEOUT_MS = 400L
+    }
+}
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -14,16 +14,16 @@
 import io.daisybend.platform.headersForCaller
 import io.daisybend.serving.attempt.SendOutcome
 import io.daisybend.serving.endpoint.Endpoint
+import io.daisybend.serving.stream.SilenceLimits
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.EOFException
 import java.io.IOException
 
-/**
- * Forwards responses for [admitted] to [connection]. A stream without a new event for some time is given up only if
- * [mayResumeElsewhere], since a slow engine may still be sound.
- */
+/** Forwards responses for [admitted] to [connection]; [handover] finds another engine for a silent stream. */
 internal class ResponseRelay(
     private val connection: CallerConnection,
     private val admitted: AdmittedRequest,
@@ -31,8 +31,8 @@
     private val endDetector: EngineEndDetector,
     private val streamBinding: StreamBinding,
     private val responseMemory: BodyMemory,
+    private val handover: SilentEngineHandover,
     private val steadyMs: () -> Long,
-    private val mayResumeElsewhere: () -> Boolean,
 ) {
     /** Time from the arrival of the request to the first piece of its response, in milliseconds. */
     var firstPieceMs: Long? = null
@@ -111,8 +111,8 @@
         val failureReason = try {
             withTimeoutOrNull(remainingMs.coerceAtLeast(1)) { forwardEvents(endpoint, response, tracked) }
                 ?: "no end in time"
-        } catch (idle: StreamIdleException) {
-            idle.message.orEmpty()
+        } catch (silent: StreamSilentException) {
+            silent.message.orEmpty()
         } catch (broken: IOException) {
             connectionEnded = true
             broken.message.orEmpty()
@@ -146,7 +146,7 @@
         endpoint: Endpoint,
         response: SendStart.HeadReceived,
         tracked: TrackedExchange,
-    ): String {
+    ): String = coroutineScope {
         var isProven = false
         var receivedBytes = 0
         var eventAtMs = steadyMs()
@@ -157,7 +157,10 @@
             if (firstPieceMs == null) firstPieceMs = steadyMs() - admitted.arrivedAtMs
             val eventsBefore = tracked.progress.eventCount
             tracked.progress.onBytes(bytes)
-            if (tracked.progress.eventCount > eventsBefore) eventAtMs = steadyMs()
+            if (tracked.progress.eventCount > eventsBefore) {
+                eventAtMs = steadyMs()
+                handover.cancelOffer()
+            }
             endpointPool.exchanges.onFirstEvent(tracked)
             if (!isProven && tracked.progress.eventCount >= PROVEN_EVENTS) {
                 isProven = true
@@ -167,9 +170,10 @@
             if (events.isNotEmpty()) streamBinding.onEvents(endpoint)
             connection.writeChunk(events)
         }
+        handover.cancelOffer()
         problemAtEnd(endpoint, response, tracked)?.let { throw ConnectionBrokenException(EOFException(it)) }
         eventBuffer?.takeRemainder()?.let { connection.writeChunk(it) }
-        return ""
+        ""
     }
 
     private suspend fun problemAtEnd(
@@ -192,21 +196,12 @@
      * Reads the next piece of a stream whose last event was at [eventAtMs]. Bytes that complete no event don't prolong
      * the wait of a stream that can go on elsewhere.
      */
-    private suspend fun readNextPiece(response: SendStart.HeadReceived, eventAtMs: Long): ByteArray? {
+    private suspend fun CoroutineScope.readNextPiece(response: SendStart.HeadReceived, eventAtMs: Long): ByteArray? {
         if (!admitted.route.resumable) return response.exchange.body.readPiece()
-        return coroutineScope {
-            val reading = async { response.exchange.body.readPiece() }
-            var checkAtMs = eventAtMs + STREAM_IDLE_TIMEOUT_MS
-            while (withTimeoutOrNull(checkAtMs - steadyMs()) { reading.join() } == null) {
-                if (!reading.isActive) break
-                if (mayResumeElsewhere()) {
-                    reading.cancel()
-                    throw StreamIdleException("no event for ${steadyMs() - eventAtMs} ms")
-                }
-                checkAtMs = steadyMs() + ALTERNATIVE_CHECK_INTERVAL_MS
-            }
-            reading.await()
-        }
+        val reading = async(start = CoroutineStart.UNDISPATCHED) { response.exchange.body.readPiece() }
+        val limits = SilenceLimits.betweenEvents(admitted.eventGapTimeoutMs)
+        if (handover.awaitStep(this, reading, eventAtMs, limits)) return reading.await()
+        throw StreamSilentException("no event for ${steadyMs() - eventAtMs} ms, and another engine has accepted it")
     }
 
     private fun completedResult(status: Int): SendResult {
@@ -214,7 +209,7 @@
         return SendResult(SendOutcome.Unknown, "", RequestOutcome(status, cause, "ran"))
     }
 
-    private class StreamIdleException(message: String) : IOException(message)
+    private class StreamSilentException(message: String) : IOException(message)
 
     companion object {
         /** Events after which an answer has gone on past its beginning. */
@@ -225,11 +220,5 @@
         /** Bytes after which a stream has no end: many times the longest output of a model. */
         private const val MAX_STREAM_BYTES = 8_388_608
         private val SUCCESS = 200..299
-
-        /** Silence after which a resumable stream goes to another engine, in milliseconds: many times a usual pause. */
-        private const val STREAM_IDLE_TIMEOUT_MS = 1_200L
-
-        /** Interval at which a silent stream checks whether it can go on elsewhere by now, in milliseconds. */
-        private const val ALTERNATIVE_CHECK_INTERVAL_MS = 200L
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
@@ -0,0 +1,75 @@
+/*
+ * Hands a request of a silent engine over to another one. The silent engine keeps the request until another engine has
+ * accepted it: an engine that is full or refuses the request must not end a stream that would have gone on.
+ */
+package io.daisybend.entry.exchange
+
+import io.daisybend.serving.stream.SilenceLimits
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Offers a request to other engines. */
+internal interface RequestOffers {
+    /** Whether the engine that has the request has ended. */
+    suspend fun hasEngineEnded(): Boolean
+
+    /** Offers the request to another engine; returns whether it has accepted it. */
+    suspend fun offer(): Boolean
+
+    /** Ends the request at an engine that has accepted it. */
+    fun withdraw()
+}
+
+/** Watches the silence of the engine that has a request, and makes [offers] to others. */
+internal class SilentEngineHandover(private val offers: RequestOffers, private val steadyMs: () -> Long) {
+    private var pendingOffer: Deferred<Boolean>? = null
+    private var nextOfferAtMs = 0L
+
+    /**
+     * Waits for [step] of an engine that is silent since [silentSinceMs]; offers run in [scope]. Returns false once
+     * another engine has accepted the request. An offer that is pending when the step completes goes on.
+     */
+    suspend fun awaitStep(scope: CoroutineScope, step: Job, silentSinceMs: Long, limits: SilenceLimits): Boolean {
+        while (!step.isCompleted) {
+            val pending = pendingOffer
+            val waitMs = maxOf(silentSinceMs + limits.checkAfterMs, nextOfferAtMs) - steadyMs()
+            when {
+                pending != null -> {
+                    select {
+                        step.onJoin { }
+                        pending.onJoin { }
+                    }
+                    if (step.isCompleted) return true
+                    pendingOffer = null
+                    if (pending.await()) return false
+                    nextOfferAtMs = steadyMs() + limits.nextCheckInMs(steadyMs() - silentSinceMs)
+                }
+                waitMs > 0 -> withTimeoutOrNull(waitMs) { step.join() }
+                else -> pendingOffer = scope.async { offerIfDue(silentSinceMs, limits) }
+            }
+        }
+        return true
+    }
+
+    /** Takes back what was offered, since the engine goes on with the request. */
+    suspend fun cancelOffer() {
+        val pending = pendingOffer ?: return
+        pendingOffer = null
+        pending.cancelAndJoin()
+        offers.withdraw()
+    }
+
+    /** Forgets the silence of an engine, after the coroutines of [awaitStep] have ended. */
+    fun reset() {
+        pendingOffer = null
+        nextOfferAtMs = 0
+    }
+
+    private suspend fun offerIfDue(silentSinceMs: Long, limits: SilenceLimits): Boolean =
+        limits.isOfferDue(steadyMs() - silentSinceMs, offers::hasEngineEnded) && offers.offer()
+}
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -36,8 +36,14 @@
     /** Sends half of a stream, and then a byte now and then without end. */
     DRIP,
 
-    /** Serves a stream with a long pause in its middle. */
+    /** Serves a stream with a pause of [FakeEndpoint.pauseMs] in its middle. */
     SLOW,
+
+    /** Serves a stream after a pause of [FakeEndpoint.pauseMs]. */
+    LATE,
+
+    /** Sends half of a stream, stops listening and leaves the connection open. */
+    VANISH,
     FAIL,
     EXTRA_RESPONSE,
     BREAK_MID_EVENT,
@@ -71,6 +77,13 @@
     /** Ends the process of the endpoint; called when it begins to answer a prompt with [DEADLY_PART]. */
     var crash: () -> Unit = {}
 
+    /** Closes the listening socket of the endpoint. */
+    var stopListening: () -> Unit = {}
+
+    /** Length of the pauses of [Behaviour.SLOW] and [Behaviour.LATE], in milliseconds. */
+    @Volatile
+    var pauseMs = 1_700L
+
     /** Writes the entry of the endpoint to the list, as its heartbeats do. */
     var register: () -> Unit = {}
 
@@ -138,6 +151,10 @@
             Behaviour.RESET_WITH_LENGTH ->
                 sendHalf(call, listOf(Header("Content-Length", "1000"))) { call.resetConnection() }
             Behaviour.RESET_CHUNKED -> sendHalf(call, chunked) { call.resetConnection() }
+            Behaviour.VANISH -> sendHalf(call, chunked) {
+                stopListening()
+                call.source.fill()
+            }
             Behaviour.DRIP -> sendHalf(call, chunked) { drip(call) }
             Behaviour.RESET_UNFRAMED -> sendHalf(call, emptyList()) { call.resetConnection() }
             else -> serve(call, behaviour)
@@ -187,13 +204,14 @@
             call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + chunked))
             return crash()
         }
+        if (behaviour == Behaviour.LATE) delay(pauseMs)
         val firstEvent = (call.header("Last-Event-Id")?.toInt() ?: 0) + 1
         val framing = if (isUnframed) emptyList() else chunked
         call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + framing))
         val breaksOff = behaviour == Behaviour.BREAK_MID_EVENT || behaviour == Behaviour.UNFRAMED_BREAK_MID_EVENT
         for (number in firstEvent..EVENTS) {
             val isCut = breaksOff && number == BREAK_AT_EVENT
-            if (behaviour == Behaviour.SLOW && number == BREAK_AT_EVENT) delay(LONG_PAUSE_MS)
+            if (behaviour == Behaviour.SLOW && number == BREAK_AT_EVENT) delay(pauseMs)
             val bytes = (if (isCut) "id: $number\nda" else "id: $number\ndata: $number\n\n").encodeToByteArray()
             call.sink.writeAll(if (isUnframed) bytes else encodeChunk(bytes))
             if (isCut) return call.closeConnection()
@@ -232,8 +250,6 @@
         /** Time in which sent bytes reach the VM, in milliseconds; a reset would discard them. */
         private const val ARRIVAL_MS = 50L
 
-        /** A pause that a slow but sound stream makes, in milliseconds. */
-        private const val LONG_PAUSE_MS = 1_700L
         private const val DRIP_MS = 250L
         private val byte = byteArrayOf(':'.code.toByte())
         private val leaving = Header("Server-Leaving", "1")
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -82,6 +82,9 @@
         }
     }
 
+    /** Accepts no more connections; the open ones stay. */
+    fun stopListening() = server.close()
+
     private suspend fun listen(port: Int): FakeServer {
         val listening = aSocket(selector).tcp().bind(InetSocketAddress("127.0.0.1", port)) { reuseAddress = true }
         server = listening
