Bound the memory and the work that tiny pieces of a response take

What callers saw, at other operators: a faulty engine sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients ended with it.

Here heads and bodies were bounded by their bytes (32 KiB, 8 MiB, a quarter of the heap for all), but not by what the bytes take: readAll kept one array for each piece, and a sender chooses the size of the pieces. A body of 2 MB in chunks of one byte took 62.8 MB; 8 MiB would take more than the heap of 160 MB. An event without end copied all of its bytes for each new piece: 250 KB byte by byte kept a core busy for 18.4 s.

Ruled out: heads (lines are bounded), interim heads (four), unrelated responses, reports and the store (bounded bodies of 256 KB and 2 MB), idle connections (closed once input is pending).

--- a/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
@@ -89,26 +89,35 @@
 }
 
 /**
- * Returns the rest of the body; throws [MalformedMessageException] if it exceeds [maxBytes] or [reserve] returns false.
+ * Returns the rest of the body. [reserve] is called with the memory that the body takes in addition; pieces are copied
+ * together as they arrive, since a sender may choose to send many tiny ones. Throws [MalformedMessageException] if the
+ * body exceeds [maxBytes] or [reserve] returns false.
  */
 internal suspend fun BodyReader.readAll(maxBytes: Int, reserve: (Int) -> Boolean = { true }): ByteArray {
-    val pieces = ArrayList<ByteArray>()
+    var body = ByteArray(0)
     var size = 0
     while (true) {
         val piece = readPiece() ?: break
-        size += piece.size
-        if (size > maxBytes) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
-        if (!reserve(piece.size)) throw MalformedMessageException(MalformedMessage.NO_BODY_MEMORY)
-        pieces.add(piece)
+        val newSize = size + piece.size
+        if (newSize > maxBytes) throw MalformedMessageException(MalformedMessage.BODY_TOO_LARGE)
+        if (newSize > body.size) {
+            val capacity = reserveCapacity(body.size, newSize, maxBytes, reserve)
+            body = if (capacity == piece.size) piece else body.copyOf(capacity)
+        }
+        if (body !== piece) piece.copyInto(body, size)
+        size = newSize
     }
-    if (pieces.size == 1) return pieces[0]
-    val body = ByteArray(size)
-    var offset = 0
-    pieces.forEach { piece ->
-        piece.copyInto(body, offset)
-        offset += piece.size
+    return if (size == body.size) body else body.copyOf(size)
+}
+
+/** Returns the capacity after reserving it: twice the old one, or just [neededBytes] if there is no room for that. */
+private fun reserveCapacity(oldBytes: Int, neededBytes: Int, maxBytes: Int, reserve: (Int) -> Boolean): Int {
+    val doubledBytes = maxOf(neededBytes, minOf(oldBytes * 2, maxBytes))
+    return when {
+        reserve(doubledBytes - oldBytes) -> doubledBytes
+        doubledBytes > neededBytes && reserve(neededBytes - oldBytes) -> neededBytes
+        else -> throw MalformedMessageException(MalformedMessage.NO_BODY_MEMORY)
     }
-    return body
 }
 
 /** Reads the rest of the body without keeping it; throws [MalformedMessageException] if it exceeds [maxBytes]. */
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ByteSource.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ByteSource.kt
@@ -46,7 +46,7 @@
      */
     suspend fun fill(): Boolean {
         while (true) {
-            val piece = synchronized(lock) { queue.removeFirstOrNull()?.also { queuedBytes -= it.size } }
+            val piece = synchronized(lock) { queue.removeFirstOrNull()?.also { queuedBytes -= memoryOf(it) } }
             if (piece != null) {
                 spaceAvailable.trySend(Unit)
                 append(piece)
@@ -110,12 +110,14 @@
     private suspend fun enqueue(piece: ByteArray) {
         synchronized(lock) {
             queue.addLast(piece)
-            queuedBytes += piece.size
+            queuedBytes += memoryOf(piece)
         }
         dataAvailable.trySend(Unit)
         while (synchronized(lock) { queuedBytes > MAX_QUEUED_BYTES }) spaceAvailable.receive()
     }
 
+    private fun memoryOf(piece: ByteArray) = piece.size + PIECE_OVERHEAD_BYTES
+
     private sealed interface InputEnd {
         data object Orderly : InputEnd
         class Broken(val cause: Throwable) : InputEnd
@@ -127,6 +129,9 @@
         /** Number of queued bytes above which reading from the connection pauses. */
         const val MAX_QUEUED_BYTES = 65_536
 
+        /** Memory of an array beside its elements, in bytes; a sender may choose to send tiny segments. */
+        const val PIECE_OVERHEAD_BYTES = 24
+
         /** Scope of the reader coroutines; each ends with its connection. */
         val readerScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/EventBufferTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/EventBufferTest.kt
@@ -1,8 +1,10 @@
 package io.daisybend.entry.exchange
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
+import kotlin.system.measureTimeMillis
 
 class EventBufferTest : FunSpec({
     val stream = (1..40).joinToString("") { "id: $it\ndata: ${"x".repeat(it)}\n\n" }
@@ -33,4 +35,14 @@
         buffer.completeEvents("id: 2\ndata: b\n\n".encodeToByteArray()).decodeToString() shouldBe "id: 2\ndata: b\n\n"
         buffer.lastEventId shouldBe "2"
     }
+
+    // A faulty engine that sent an event without end byte by byte kept the processor of its VM busy for seconds.
+    test("the work on an event without end grows with its bytes, not with their square") {
+        val buffer = EventBuffer()
+        val byte = byteArrayOf('x'.code.toByte())
+        val tookMs = measureTimeMillis { repeat(EVENT_BYTES) { buffer.completeEvents(byte).size shouldBe 0 } }
+        tookMs shouldBeLessThan 1_500
+    }
 })
+
+private const val EVENT_BYTES = 250_000
