Keep the place of an adapter until its accepted unload is done

What callers saw: an engine with places for eight adapters was ordered to load a ninth, crashed, and the stream of another caller was cut (LIMIT).

Cause: an engine answers 202 to the unload of an adapter that still has runs, and drops it after them; 200 means that it is gone. EngineTracker took both for gone, so the next order loaded an adapter into a place that was still taken. The runs of a frozen VM, or those begun since the last report of a VM, are not known to the holder of the order duty, so it can't avoid such unloads.

Ruled out: waiting with other unloads until the first is done. Another adapter without runs makes way at once, and is loaded again within ms.

Change: an adapter whose unload was accepted keeps its place, and gets no requests, until a report of the engine no longer lists it.

Test: EngineTrackerTest, "an adapter takes its place until ...", fails before: reserved [a2], expected [a1, a2].

--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -41,6 +41,9 @@
     public var unloadingModel: String? = null
         private set
 
+    /** Adapters whose unload waits for their runs to end; they still take their places. */
+    private val unloadingAdapters = HashSet<AdapterKey>()
+
     private val unansweredOrders = ArrayList<UnansweredOrder>()
     private var changedAtMs = 0L
 
@@ -76,7 +79,8 @@
     public fun shouldReadReport(nowMs: Long): Boolean {
         val load = runningLoad
         val isLoadDue = load != null && !load.isPredictable && nowMs >= load.expectedAtMs
-        return needsReport || unloadingModel != null || isBusyWithUnknownOrder || isLoadDue
+        val isUnloading = unloadingModel != null || unloadingAdapters.isNotEmpty()
+        return needsReport || isUnloading || isBusyWithUnknownOrder || isLoadDue
     }
 
     /** Returns the expected time until the engine accepts orders, in milliseconds. */
@@ -124,9 +128,13 @@
             holdings.loadingAdapters +
             listOfNotNull((outstandingOrder as? EngineOrder.LoadAdapter)?.let { AdapterKey(it.model, it.adapter) })
 
-    /** Returns the adapters that need memory: held, loading, and those that unanswered orders may still load. */
+    /**
+     * Returns the adapters that need memory: held, loading, those whose unload waits for their runs, and those that
+     * unanswered orders may still load.
+     */
     public fun reservedAdapters(): Set<AdapterKey> =
         heldOrLoadingAdapters() +
+            unloadingAdapters +
             unansweredOrders.mapNotNull {
                 (it.order as? EngineOrder.LoadAdapter)?.let { order -> AdapterKey(order.model, order.adapter) }
             }
@@ -180,7 +188,10 @@
                 holdings = holdings.copy(models = holdings.models - order.model)
             }
             is EngineOrder.LoadAdapter -> holdings = holdings.withAdapter(order.model, order.adapter)
-            is EngineOrder.UnloadAdapter -> holdings = holdings.withoutAdapter(order.model, order.adapter)
+            is EngineOrder.UnloadAdapter -> {
+                holdings = holdings.withoutAdapter(order.model, order.adapter)
+                unloadingAdapters.add(AdapterKey(order.model, order.adapter))
+            }
         }
         removeSupersededOrders()
     }
@@ -202,9 +213,11 @@
         if (report.orderCount < holdings.orderCount) return
         val hasAcceptedOrders = report.orderCount > holdings.orderCount
         changedAtMs = nowMs
+        unloadingAdapters.removeAll { it.adapter !in report.models[it.model]?.adapters.orEmpty() }
         val loadedButUnreported = if (hasAcceptedOrders) emptyMap() else loadedButMissingIn(report)
-        holdings = report.copy(
-            models = report.models + loadedButUnreported,
+        val reported = unloadingAdapters.fold(report) { rest, key -> rest.withoutAdapter(key.model, key.adapter) }
+        holdings = reported.copy(
+            models = reported.models + loadedButUnreported,
             inMemory = report.inMemory.ifEmpty { holdings.inMemory },
             onDisk = report.onDisk.ifEmpty { holdings.onDisk } + copies.loadedSince(nowMs - LIST_LAG_MS),
         )
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
@@ -1,5 +1,6 @@
 package io.daisybend.serving.residency
 
+import io.daisybend.serving.endpoint.AdapterKey
 import io.daisybend.serving.endpoint.EngineHoldings
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
@@ -163,6 +164,32 @@
         tracker.acceptsOrders(1_050) shouldBe true
     }
 
+    // An engine was ordered to load a ninth adapter into eight places while an unload waited for its runs.
+    test("an adapter takes its place until a report shows that its accepted unload is done") {
+        fun holdings(orderCount: Long, vararg adapters: String) =
+            EngineHoldings(orderCount, mapOf("m1" to HeldModel("m1", adapters.toSet())))
+        val tracker = EngineTracker(Incarnation("e", 1), holdings(0, "a1", "a2"), engineSpec)
+        tracker.onSent(EngineOrder.UnloadAdapter("m1", "a1"))
+        tracker.onAnswer(OrderAnswer.Accepted, nowMs = 1_000, expectedAtMs = 1_010)
+        tracker.holdings.models.getValue("m1").adapters shouldBe setOf("a2")
+        tracker.reservedAdapters() shouldBe setOf(AdapterKey("m1", "a1"), AdapterKey("m1", "a2"))
+        tracker.shouldReadReport(1_100) shouldBe true
+        tracker.onReport(holdings(1, "a1", "a2"), nowMs = 1_300)
+        tracker.holdings.models.getValue("m1").adapters shouldBe setOf("a2")
+        tracker.reservedAdapters().size shouldBe 2
+        tracker.onReport(holdings(1, "a2"), nowMs = 3_000)
+        tracker.reservedAdapters() shouldBe setOf(AdapterKey("m1", "a2"))
+        tracker.shouldReadReport(3_100) shouldBe false
+    }
+
+    test("an adapter that was unloaded at once takes no place any more") {
+        val held = mapOf("m1" to HeldModel("m1", setOf("a1")))
+        val tracker = EngineTracker(Incarnation("e", 1), EngineHoldings(0, held), engineSpec)
+        tracker.onSent(EngineOrder.UnloadAdapter("m1", "a1"))
+        tracker.onAnswer(OrderAnswer.AlreadyHolds, nowMs = 1_000, expectedAtMs = 1_010)
+        tracker.reservedAdapters() shouldBe emptySet()
+    }
+
     test("the same check detects naive orders that do not name the order count of the engine") {
         (0 until 300).count { overfills(it, isNaive = true) } shouldBeGreaterThan 0
     }
