Test that an error of the next engine is no part of a broken stream

Reported by other operators: a stream broke off, the next engine answered with an error, and its text stood in the middle of the stream, or the stream ended as if it were complete.

The log shows that the VM found the endpoint still listening: a selector of the stand-in closes its listening socket at its next turn, after the connections. The kernel of a process that ends closes all at once, so the stand-in now waits until its port refuses connections. The check of the test is unchanged.

--- a/entry/src/test/kotlin/io/daisybend/entry/BrokenAnswerTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/BrokenAnswerTest.kt
@@ -4,6 +4,7 @@
 import io.daisybend.entry.standin.FakeEndpoint
 import io.daisybend.entry.standin.Site
 import io.daisybend.entry.standin.withSite
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
@@ -11,8 +12,14 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import java.io.IOException
+import kotlin.time.Duration.Companion.seconds
 
 private val allEvents = (1..FakeEndpoint.EVENTS).joinToString("") { "id: $it\ndata: $it\n\n" }
+private val eventsBeforeBreak = (1..3).joinToString("") { "id: $it\ndata: $it\n\n" }
+private const val MANY = 20
+
+/** Time in which the test tells the other endpoint how to respond, in milliseconds. */
+private const val TIME_FOR_THE_OTHER_MS = 600L
 private val resets = listOf(Behaviour.RESET_WITH_LENGTH, Behaviour.RESET_CHUNKED, Behaviour.RESET_UNFRAMED)
 
 /** Time after which an endpoint that was ejected, or that crashed, is used again, in milliseconds. */
@@ -76,4 +83,26 @@
             }
         }
     }
+
+    // Reported by other operators: the error of the next engine stood in the middle of the stream, or ended it.
+    test("an error of the next engine is no part of a stream that broke off, and does not make it look complete") {
+        withSite {
+            configure()
+            for (error in listOf(Behaviour.FAIL, Behaviour.REJECT, Behaviour.UNSEALED, Behaviour.LOSE_RESPONSE)) {
+                withClue(error) {
+                    warmUp()
+                    queueForAll(Behaviour.RESET_CHUNKED)
+                    endpoints.forEach { it.halfMs = TIME_FOR_THE_OTHER_MS }
+                    val caller = connect()
+                    caller.send("POST", "/stream/x", "prompt")
+                    eventually(2.seconds) { ran shouldHaveSize 1 }
+                    val other = endpoints.single { it.ran.isEmpty() }
+                    other.behaviours.clear()
+                    repeat(MANY) { other.behaviours.add(error) }
+                    caller.readBroken() shouldBe eventsBeforeBreak
+                    (other.ran + other.turnedAway).isNotEmpty() shouldBe true
+                }
+            }
+        }
+    }
 })
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -84,6 +84,10 @@
     @Volatile
     var pauseMs = 1_700L
 
+    /** Time between half of a response and what follows it, in milliseconds; a reset discards what has not arrived. */
+    @Volatile
+    var halfMs = 50L
+
     /** Writes the entry of the endpoint to the list, as its heartbeats do. */
     var register: () -> Unit = {}
 
@@ -181,7 +185,7 @@
         }.encodeToByteArray()
         val body = if (framing == chunked) encodeChunk(half) else half
         call.sink.writeAll(encodeHead("HTTP/1.1 200 OK", ownHeaders(call) + framing), body)
-        delay(ARRIVAL_MS)
+        delay(halfMs)
         end()
     }
 
@@ -247,9 +251,6 @@
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
 
-        /** Time in which sent bytes reach the VM, in milliseconds; a reset would discard them. */
-        private const val ARRIVAL_MS = 50L
-
         private const val DRIP_MS = 250L
         private val byte = byteArrayOf(':'.code.toByte())
         private val leaving = Header("Server-Leaving", "1")
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.net.StandardSocketOptions
 import java.nio.channels.SocketChannel
@@ -75,13 +76,17 @@
     fun crash(downMs: Long) {
         val crashedPort = port
         server.close()
-        connections.forEach { it.close() }
         scope.launch {
+            // A selector closes its sockets late; the kernel of a process that ends closes all at once.
+            withTimeoutOrNull(CLOSE_TIMEOUT_MS) { while (acceptsConnections(crashedPort)) delay(1) }
+            connections.forEach { it.close() }
             delay(downMs)
             listen(crashedPort)
         }
     }
 
+    private fun acceptsConnections(port: Int) = runCatching { java.net.Socket("127.0.0.1", port).close() }.isSuccess
+
     /** Accepts no more connections; the open ones stay. */
     fun stopListening() = server.close()
 
@@ -120,6 +125,7 @@
     }
 
     private companion object {
+        const val CLOSE_TIMEOUT_MS = 1_000L
         const val MAX_HEAD_BYTES = 16_384
         const val MAX_BODY_BYTES = 1_048_576
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -92,6 +92,19 @@
         }
     }
 
+    /** Reads the body of a response that breaks off; fails if it is complete. */
+    suspend fun readBroken(): String {
+        val head = parseResponseHead(source.readHeadLines(8_192) ?: throw IOException("closed"), "GET")
+        val body = BodyReader(source, head.framing)
+        val received = StringBuilder()
+        try {
+            while (true) received.append((body.readPiece() ?: break).decodeToString())
+        } catch (expectedEnd: IOException) {
+            return received.toString()
+        }
+        error("expected a response that breaks off, got a complete one: $received")
+    }
+
     suspend fun call(method: String, path: String, body: String = "", key: String? = "k1"): Response {
         send(method, path, body, key)
         return read()
