Count offers that may have run as attempts, and no slow caller as silence

An offer that got no answer may run at its engine, and the request could then have run at more engines than its route allows (BUDGET): only offers refused as not run are no attempts now. The silence of an engine was counted from the arrival of its last event; it now counts from the time at which the caller took it, since the VM reads no further piece meanwhile.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -74,7 +74,7 @@
     )
 
     private fun onRefused(send: Send) {
-        sends.refusedOffers++
+        if (send.start.isKnownUnrun) sends.refusedOffers++
         when (val start = send.start) {
             is SendStart.NotSent -> recorder.onNotSent(send.endpoint, start)
             is SendStart.NoResponse -> recorder.onNoResponse(send.endpoint, start)
@@ -95,6 +95,9 @@
         response.exchange.abort()
     }
 
+    private val SendStart?.isKnownUnrun: Boolean
+        get() = this is SendStart.NotSent || (this is SendStart.HeadReceived && headers.didNotRun)
+
     private companion object {
         /** Time in which an engine must accept an offer, in milliseconds: the reading of a long prompt. */
         const val OFFER_TIMEOUT_MS = 2_000L
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -36,7 +36,7 @@
     /** Ids of the endpoints that the request was sent to, in order. */
     val endpointsUsed = ArrayList<String>()
 
-    /** Sends that were only offers and that no engine accepted. */
+    /** Sends that were only offers and that were refused as not run. */
     @Volatile
     var refusedOffers = 0
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -157,10 +157,8 @@
             if (firstPieceMs == null) firstPieceMs = steadyMs() - admitted.arrivedAtMs
             val eventsBefore = tracked.progress.eventCount
             tracked.progress.onBytes(bytes)
-            if (tracked.progress.eventCount > eventsBefore) {
-                eventAtMs = steadyMs()
-                handover.cancelOffer()
-            }
+            val hasNewEvent = tracked.progress.eventCount > eventsBefore
+            if (hasNewEvent) handover.cancelOffer()
             endpointPool.exchanges.onFirstEvent(tracked)
             if (!isProven && tracked.progress.eventCount >= PROVEN_EVENTS) {
                 isProven = true
@@ -169,6 +167,8 @@
             val events = eventBuffer?.completeEvents(bytes) ?: bytes
             if (events.isNotEmpty()) streamBinding.onEvents(endpoint)
             connection.writeChunk(events)
+            // A slow caller is no silence of the engine.
+            if (hasNewEvent) eventAtMs = steadyMs()
         }
         handover.cancelOffer()
         problemAtEnd(endpoint, response, tracked)?.let { throw ConnectionBrokenException(EOFException(it)) }
