--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
 
 /** How the endpoint handles one request. */
 internal enum class Behaviour {
@@ -66,6 +67,9 @@
     /** As [RESET_WITH_LENGTH], but with neither a length nor chunks. */
     RESET_UNFRAMED,
     HANG,
+
+    /** Responds at about the deadline that the request names. */
+    AT_DEADLINE,
     UNSEALED,
     ENDLESS_HEAD,
     ENDLESS_BODY,
@@ -77,6 +81,9 @@
     /** Ends the process of the endpoint; called when it begins to answer a prompt with [DEADLY_PART]. */
     var crash: () -> Unit = {}
 
+    /** Number of open connections of the endpoint. */
+    var connectionCount: () -> Int = { 0 }
+
     /** Closes the listening socket of the endpoint. */
     var stopListening: () -> Unit = {}
 
@@ -142,6 +149,11 @@
             Behaviour.LOSE_RESPONSE -> call.closeConnection()
             Behaviour.FAIL -> call.respond(500, "failed".encodeToByteArray(), ownHeaders(call))
             Behaviour.HANG -> if (!call.source.fill()) abandoned.add(call.header("X-Daisybend-Attempt-Id")!!)
+            Behaviour.AT_DEADLINE -> {
+                val deadlineMs = call.header("X-Daisybend-Deadline-Ms")!!.toLong()
+                delay(deadlineMs + Random.nextLong(-AROUND_DEADLINE_MS, AROUND_DEADLINE_MS))
+                call.respond(504, headers = ownHeaders(call))
+            }
             Behaviour.UNSEALED -> call.respond(200, "x".encodeToByteArray(), listOf(ownHeaders(call).first()))
             Behaviour.LARGE_RESPONSE -> call.respond(200, ByteArray(LARGE_RESPONSE_BYTES), ownHeaders(call))
             Behaviour.ENDLESS_HEAD -> sendWithoutEnd(call, "HTTP/1.1 200 OK\r\nX-Filler: ".encodeToByteArray(), filler)
@@ -252,6 +264,7 @@
         private const val EXTRA_DELAY_MS = 30L
 
         private const val DRIP_MS = 250L
+        private const val AROUND_DEADLINE_MS = 4L
         private val byte = byteArrayOf(':'.code.toByte())
         private val leaving = Header("Server-Leaving", "1")
         private val notExecuted = Header("X-Daisybend-Not-Executed", "1")
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -64,6 +64,9 @@
     private lateinit var selector: SelectorManager
     private val connections = ConcurrentHashMap.newKeySet<Socket>()
 
+    /** Number of open connections. */
+    val connectionCount: Int get() = connections.size
+
     /** The port of the server. */
     val port: Int get() = (server.localAddress as InetSocketAddress).port
 
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -153,6 +153,7 @@
             var starts = 1
             endpoint.register = { register(endpoint, port, bornMs = starts) }
             endpoint.register()
+            endpoint.connectionCount = server::connectionCount
             endpoint.stopListening = server::stopListening
             endpoint.crash = {
                 server.crash(DOWN_MS)
