Show loads from the store and what waiting models lack

Nothing showed how many loads were under way at an order, what time was expected, or which models waited without an order.

Each order to load a model now names the expected time and the loads from the store under way, each end its source and both times. A line every two seconds and two metrics show what waiting models lack, how many models have no copy at a usable engine, and how many engines take orders. No decision changes.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -29,6 +29,7 @@
 import io.daisybend.serving.residency.PlannedOrder
 import io.daisybend.serving.residency.QueuedDemand
 import io.daisybend.serving.residency.ResidencyPlanner
+import io.daisybend.serving.residency.RunningLoad
 import io.daisybend.serving.residency.StoreLoadLimiter
 import io.daisybend.serving.residency.UsageHistory
 import io.daisybend.serving.residency.WeightSource
@@ -93,6 +94,7 @@
     private val lastRequestCounts = HashMap<String, HashMap<String, Int>>()
     private val announcementsByEngine = ConcurrentHashMap<String, Announcement>()
     private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
+    private val monitor = ResidencyMonitor(log, metrics)
     private var activeEpoch: Long? = null
     private var lastEpoch: Long? = null
 
@@ -154,6 +156,7 @@
         activeEpoch = current
         if (current == null) {
             log.write("duty-turn-paused", "epoch" to lastEpoch)
+            monitor.reset()
             return
         }
         log.write("duty-turn", "epoch" to current, "resumed" to (current == lastEpoch))
@@ -196,18 +199,21 @@
         val report = event.report ?: return
         val previousLoad = tracker.runningLoad
         tracker.onReport(report, steadyMs())
-        if (previousLoad != null && tracker.runningLoad == null) {
-            log.write(
-                "load-ended",
-                "engine" to event.engine,
-                "model" to previousLoad.model,
-                "held" to (previousLoad.model in tracker.holdings.models),
-                "tookMs" to steadyMs() - previousLoad.startedAtMs,
-            )
-        }
+        if (previousLoad != null && tracker.runningLoad == null) logLoadEnd(tracker, previousLoad, source = "report")
         announce(tracker)
     }
 
+    private fun logLoadEnd(tracker: EngineTracker, load: RunningLoad, source: String) = log.write(
+        "load-ended",
+        "engine" to tracker.incarnation.id,
+        "model" to load.model,
+        "held" to (load.model in tracker.holdings.models),
+        "tookMs" to steadyMs() - load.startedAtMs,
+        "expectedMs" to load.expectedAtMs - load.startedAtMs,
+        "storeLoads" to ResidencyMonitor.storeLoadsOf(trackers.values),
+        "source" to source,
+    )
+
     private fun announce(tracker: EngineTracker) {
         val id = tracker.incarnation.id
         val now = steadyMs()
@@ -244,8 +250,12 @@
             val planner = ResidencyPlanner(engineSpec)
             val orders = planner.plan(engines, serviceDemand, usageHistory, available, prefetch = true, nowMs = now)
             orders.forEach { sendOrder(scope, it, epoch, now) }
+            monitor.onPlanned(service, engines, serviceDemand, available, now)
         }
         val knownIds = table.all().mapTo(HashSet()) { it.incarnation.id }
+        trackers.filterKeys { it !in knownIds }.values.forEach { lost ->
+            lost.runningLoad?.let { logLoadEnd(lost, it, source = "engine gone") }
+        }
         trackers.keys.retainAll(knownIds)
         announcementsByEngine.keys.retainAll(knownIds)
     }
@@ -261,7 +271,9 @@
         val tracker =
             trackers[id]?.takeIf { it.incarnation == endpoint.incarnation }
                 ?: newTracker(endpoint, holdings, engineSpec)
+        val previousLoad = tracker.runningLoad
         endpoint.entry.holdings?.let { tracker.onListEntry(it, now) }
+        if (previousLoad != null && tracker.runningLoad == null) logLoadEnd(tracker, previousLoad, source = "list")
         if (tracker.completeDueLoad(now)) {
             log.write("load-settled", "engine" to id, "holds" to tracker.holdings.models.keys)
             announce(tracker)
@@ -314,6 +326,7 @@
         val entry = table.find(id)?.entry ?: return
         if (order is EngineOrder.LoadModel && order.source == WeightSource.STORE) storeLoadLimiter.onLoadStarted(now)
         val orderCount = tracker.onSent(order)
+        val isModelLoad = order is EngineOrder.LoadModel
         log.write(
             "order-sent",
             "engine" to id,
@@ -321,6 +334,8 @@
             "orderCount" to orderCount,
             "epoch" to epoch,
             "reason" to planned.reason,
+            "expectedMs" to planned.durationMs.takeIf { isModelLoad },
+            "storeLoads" to ResidencyMonitor.storeLoadsOf(trackers.values).takeIf { isModelLoad },
         )
         scope.launch {
             // The lease is checked again immediately before the order is sent.
