Replay a site that loses copies, on a store that slows down

The replay of the planner gave each load its full speed and knew neither adapters nor engines that join, so this class of failure could not show in it.

--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
@@ -1,29 +1,35 @@
 package io.daisybend.serving.residency
 
+import io.daisybend.serving.endpoint.AdapterKey
 import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.site.EngineSpec
 
 /** Sends the orders of [ResidencyPlanner], with one [EngineTracker] per engine. */
 internal class PlannedResidency(
-    private val pattern: ReplayPattern,
+    private val spec: EngineSpec,
+    private val isStoreUnavailable: Boolean = false,
     settings: PlannerSettings = PlannerSettings(),
 ) : ResidencyPolicy {
     private val trackers = HashMap<String, EngineTracker>()
-    private val planner = ResidencyPlanner(replaySpec, settings)
+    private val planner = ResidencyPlanner(spec, settings)
     private val history = UsageHistory()
     private val limiter = StoreLoadLimiter(windowMs = 5_000)
 
     override fun order(
         engines: List<ReplayedEngine>,
         waiting: List<WaitingRequest>,
-        arrived: List<String>,
+        arrived: List<WaitingRequest>,
         nowMs: Long,
     ) {
-        arrived.groupingBy { it }.eachCount().forEach { (model, count) -> history.recordUse(model, count, nowMs) }
+        arrived.flatMap { setOf(it.model, it.key) }.groupingBy { it }.eachCount().forEach { (key, count) ->
+            history.recordUse(key, count, nowMs)
+        }
         val planned = engines.map { snapshotOf(it, nowMs) }
-        val queued = waiting.groupBy { it.model }.map { (model, requests) ->
-            QueuedDemand(model, null, requests.size, urgency = 1, waitedMs = nowMs - requests.minOf { it.arrivedAtMs })
+        val queued = waiting.groupBy { Triple(it.model, it.adapter, it.urgency) }.map { (key, requests) ->
+            val (model, adapter, urgency) = key
+            QueuedDemand(model, adapter, requests.size, urgency, waitedMs = nowMs - requests.minOf { it.arrivedAtMs })
         }
-        val allowed = if (pattern.isStoreUnavailable) 0 else limiter.availableLoads(nowMs, replaySpec.loadsPerSecond)
+        val allowed = if (isStoreUnavailable) 0 else limiter.availableLoads(nowMs, spec.loadsPerSecond)
         planner.plan(planned, queued, history, allowed, prefetch = true, nowMs = nowMs).forEach {
             send(it, engines, nowMs)
         }
@@ -31,7 +37,7 @@
 
     private fun snapshotOf(engine: ReplayedEngine, nowMs: Long): EngineSnapshot {
         val tracker = trackers.getOrPut(engine.id) {
-            EngineTracker(Incarnation(engine.id, 0), engine.report(nowMs), replaySpec)
+            EngineTracker(Incarnation(engine.id, 0), engine.report(nowMs), spec)
         }
         tracker.completeDueLoad(nowMs)
         if (tracker.shouldReadReport(nowMs)) tracker.onReport(engine.report(nowMs), nowMs)
@@ -41,7 +47,10 @@
             isUsable = true,
             runsByModel = runs.mapValues { it.value.size },
             runsEndInMs = runs.mapValues { (_, all) -> all.maxOf { it.endsAtMs } - nowMs },
-            runsByAdapter = emptyMap(),
+            runsByAdapter = engine.currentRuns
+                .mapNotNull { run -> run.adapter?.let { AdapterKey(run.model, it) } }
+                .groupingBy { it }
+                .eachCount(),
             inFlight = engine.currentRuns.size,
             pendingPromptTokens = 0,
             kvTokens = 0,
@@ -67,13 +76,13 @@
     override fun order(
         engines: List<ReplayedEngine>,
         waiting: List<WaitingRequest>,
-        arrived: List<String>,
+        arrived: List<WaitingRequest>,
         nowMs: Long,
     ) {
         val idle = engines.filter { !it.report(nowMs).busy }
         idle.forEach { engine -> pendingModels[engine.id]?.let { continueLoad(engine, it, nowMs) } }
         waiting.map { it.model }.distinct().forEach { model ->
-            if (engines.any { it.canServe(model) } || model in pendingModels.values) return@forEach
+            if (engines.any { it.canServe(model, adapter = null) } || model in pendingModels.values) return@forEach
             val engine = engines[nextIndex++ % engines.size]
             if (engine in idle && engine.id !in pendingModels) pendingModels[engine.id] = model
         }
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyReplayTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyReplayTest.kt
@@ -21,11 +21,13 @@
     ),
 )
 
+private fun planned(pattern: ReplayPattern) = PlannedResidency(replaySpec, pattern.isStoreUnavailable)
+
 class ResidencyReplayTest : FunSpec({
     patterns.forEach { pattern ->
         test("${pattern.name}: the planner serves more requests than round-robin loading and overfills no engine") {
-            val planned = (0 until 6).map { ReplayedSite(pattern, it).replay(PlannedResidency(pattern)) }
-            val roundRobin = (0 until 6).map { ReplayedSite(pattern, it).replay(RoundRobinResidency(pattern)) }
+            val planned = (0 until 6).map { replayedSite(pattern, it).replay(planned(pattern)) }
+            val roundRobin = (0 until 6).map { replayedSite(pattern, it).replay(RoundRobinResidency(pattern)) }
             val bound = planned.map { it.possibleShare }.average()
             val clue = "served: planner %.3f, round-robin %.3f, bound %.3f; store loads: %.1f and %.1f".format(
                 planned.map { it.servedShare }.average(),
