Log each endpoint that the list shows as leaving

The line is written again, once. No decision reads it.

EndpointDepartureTest fails before (expected e-1 from the list, got none).

--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -141,6 +141,7 @@
         }
         missingIds.remove(record.key)
         val old = table.find(record.key)
+        val wasDraining = old?.entry?.isDraining ?: false
         table.put(entry, clocks.read().steadyMs)
         if (old == null || old.incarnation != entry.incarnation) {
             log.write(
@@ -151,7 +152,7 @@
                 "holds" to entry.holdings?.models?.keys,
             )
         }
-        if (entry.isDraining && old?.entry?.isDraining != true) {
+        if (entry.isDraining && !wasDraining) {
             log.write(
                 "endpoint-leaving",
                 "endpoint" to record.key,
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -95,6 +95,10 @@
     @Volatile
     var halfMs = 50L
 
+    /** Whether the entry in the list says that the endpoint drains. */
+    @Volatile
+    var isDraining = false
+
     /** Writes the entry of the endpoint to the list, as its heartbeats do. */
     var register: () -> Unit = {}
 
