Forget the forecast load of an engine that is gone

Cause: the holder of the order duty drops the announcement of an engine that has left the list, and says nothing to its peers. They keep the load until its expected end and three seconds more, and refuse each request at once, so the holder sees nobody wait.

A forecast load now ends when its engine leaves the list of the VM itself. PeerTableTest, "a forecast load ends with its engine": the earlier code had no way to tell it, so the test does not compile there.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -96,7 +96,7 @@
     private val table = EndpointTable()
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
-    private val loadForecast = LoadForecast()
+    private val loadForecast = LoadForecast(isListed = { table.find(it) != null })
     private val teamRateLimiter = TeamRateLimiter(requestEarlyReport = ::reportSoon)
     private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
         VmComponents(endpointPool, leaseManager, orderController, peerLink)
@@ -337,7 +337,7 @@
             val now = steadyMs()
             connectionPool.closeExpired()
             peers.removeExpired(now)
-            loadForecast.removeOverdue(now)
+            loadForecast.removeEnded(now)
             val contact = peers.contact(now)
             teamRateLimiter.setContact(contact, now)
             endpointRateLimiter.setContact(contact, now)
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
@@ -6,9 +6,9 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-/** Announced loads by engine; thread-safe. */
-internal class LoadForecast {
-    private data class ExpectedLoad(val model: String, val endsAtMs: Long)
+/** Announced loads by engine; loads of engines that [isListed] denies have ended with them; thread-safe. */
+internal class LoadForecast(private val isListed: (String) -> Boolean) {
+    private data class ExpectedLoad(val engine: String, val model: String, val endsAtMs: Long)
 
     private val loadsByEngine = ConcurrentHashMap<String, ExpectedLoad>()
 
@@ -17,20 +17,26 @@
         if (held.loading == null) {
             loadsByEngine.remove(held.engine)
         } else {
-            loadsByEngine[held.engine] = ExpectedLoad(held.loading, nowMs + held.loadedInMs)
+            loadsByEngine[held.engine] = ExpectedLoad(held.engine, held.loading, nowMs + held.loadedInMs)
         }
     }
 
     /** Returns the time until the first load of [model] ends, in milliseconds, or null if no load is known. */
     fun loadedInMs(model: String, nowMs: Long): Long? = loadsByEngine.values
-        .filter { it.model == model && nowMs < it.endsAtMs + OVERDUE_MS }
+        .filter { it.model == model && isExpected(it, nowMs) }
         .minOfOrNull { (it.endsAtMs - nowMs).coerceAtLeast(0) }
 
-    /** Removes loads whose end was not announced in time, because the report was lost or the holder has ended. */
-    fun removeOverdue(nowMs: Long) {
-        loadsByEngine.values.removeIf { nowMs >= it.endsAtMs + OVERDUE_MS }
+    /**
+     * Removes loads whose end was not announced in time, because the report was lost or the holder has ended, and those
+     * of engines that are gone.
+     */
+    fun removeEnded(nowMs: Long) {
+        loadsByEngine.values.removeIf { !isExpected(it, nowMs) }
     }
 
+    private fun isExpected(load: ExpectedLoad, nowMs: Long) =
+        nowMs < load.endsAtMs + OVERDUE_MS && isListed(load.engine)
+
     private companion object {
         /** How long a load may take beyond its expected end, in milliseconds: loads slow each other down. */
         const val OVERDUE_MS = 3_000L
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
@@ -75,7 +75,7 @@
     }
 
     test("a forecast load is known until its end is announced or long overdue") {
-        val forecast = LoadForecast()
+        val forecast = LoadForecast(isListed = { true })
         fun holdings(loading: String?) = HoldingsReport("engine-1", 1, 1, emptyMap(), loading, loadedInMs = 2_000)
         forecast.onHoldings(listOf(holdings("model-1")), 1_000)
         forecast.loadedInMs("model-1", 1_500) shouldBe 1_500
@@ -84,4 +84,15 @@
         forecast.onHoldings(listOf(holdings(null)), 4_500)
         forecast.loadedInMs("model-1", 4_500) shouldBe null
     }
+
+    // The load of an engine that had crashed stayed announced for a minute, and its model was refused meanwhile.
+    test("a forecast load ends with its engine") {
+        val listed = hashSetOf("engine-1")
+        val forecast = LoadForecast(isListed = { it in listed })
+        val holdings = HoldingsReport("engine-1", 1, 1, emptyMap(), "model-1", loadedInMs = 60_000)
+        forecast.onHoldings(listOf(holdings), 1_000)
+        forecast.loadedInMs("model-1", 2_000) shouldBe 59_000
+        listed.clear()
+        forecast.loadedInMs("model-1", 2_000) shouldBe null
+    }
 })
