Send a load no more once its engine holds the model

A load without an answer is pending, so that it is sent again. If the engine had carried it out, the next sends were answered with "already holds", which did not end the pending load: it was sent again after each report, the engine got no other load, and the model was announced as loading.

The pending load now ends when a report lists its model, or when the engine answers that it holds it. EngineTrackerTest has both cases.

--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -198,7 +198,10 @@
 
     private fun onAlreadyHolds(order: EngineOrder) {
         when (order) {
-            is EngineOrder.LoadModel -> needsReport = true
+            is EngineOrder.LoadModel -> {
+                if (pendingModel == order.model) pendingLoad = null
+                needsReport = true
+            }
             is EngineOrder.UnloadModel -> holdings = holdings.copy(models = holdings.models - order.model)
             is EngineOrder.LoadAdapter -> holdings = holdings.withAdapter(order.model, order.adapter)
             is EngineOrder.UnloadAdapter -> {
@@ -229,6 +232,7 @@
         if (overdueModel != null && report.busy && runningLoad == null) resumeLoad(overdueModel, nowMs)
         // The engine is busy with no known order, so it is executing an order whose answer was lost.
         isBusyWithUnknownOrder = report.busy && runningLoad == null && unloadingModel == null
+        pendingLoad = pendingLoad?.takeUnless { it.model in holdings.models }
         if (hasAcceptedOrders) removeSupersededOrders()
         unansweredOrders.removeAll { nowMs - it.sentAtMs > MAX_ORDER_DELAY_MS }
     }
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
@@ -164,6 +164,22 @@
         tracker.acceptsOrders(1_050) shouldBe true
     }
 
+    // An engine that had carried out a load without an answer was sent the same load again and again.
+    test("a load without an answer is not pending any more once the engine holds its model") {
+        fun unanswered() = EngineTracker(Incarnation("e", 1), EngineHoldings(0, emptyMap()), engineSpec).apply {
+            onSent(EngineOrder.LoadModel("m1", WeightSource.STORE))
+            onAnswer(OrderAnswer.None, nowMs = 1_000, expectedAtMs = 7_000)
+        }
+        val reported = unanswered()
+        reported.pendingModel shouldBe "m1"
+        reported.onReport(EngineHoldings(1, mapOf("m1" to HeldModel("m1", emptySet()))), nowMs = 7_200)
+        reported.pendingModel shouldBe null
+        val answered = unanswered()
+        answered.onSent(EngineOrder.LoadModel("m1", WeightSource.STORE))
+        answered.onAnswer(OrderAnswer.AlreadyHolds, nowMs = 7_200, expectedAtMs = 7_200)
+        answered.pendingModel shouldBe null
+    }
+
     // An engine was ordered to load a ninth adapter into eight places while an unload waited for its runs.
     test("an adapter takes its place until a report shows that its accepted unload is done") {
         fun holdings(orderCount: Long, vararg adapters: String) =
