Announce loads until they have ended

Cause: a load is announced with its expected end while it is new. Peers forget it three seconds after that end, although loads that slow each other down take many times as long. In the other way round, the announcement of a pending load that the planner had given up stayed until the engine got another order.

Overdue loads are in each report now, expected to take as long again as they are overdue; a changed end and a load that was given up are announced.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -40,7 +40,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import java.util.concurrent.ConcurrentHashMap
 
 /** State of the fleet that the holder of the order duty plans with. */
 internal interface FleetDemandView {
@@ -66,12 +65,6 @@
     data object WakeUp : OrderEvent
 }
 
-/**
- * Holdings of an engine announced to the peers at [announcedAtMs]; a load in [report] is expected to end at
- * [loadedAtMs].
- */
-private class Announcement(val report: HoldingsReport, val announcedAtMs: Long, val loadedAtMs: Long)
-
 /** Plans and sends orders to engines while [leaseManager] holds the lease. */
 internal class OrderController(
     private val leaseManager: LeaseManager,
@@ -92,35 +85,17 @@
     private val reportRequestedAtMs = HashMap<String, Long>()
     private val usageHistory = UsageHistory()
     private val lastRequestCounts = HashMap<String, HashMap<String, Int>>()
-    private val announcementsByEngine = ConcurrentHashMap<String, Announcement>()
+    private val announcements = HoldingsAnnouncements()
     private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
     private val monitor = ResidencyMonitor(log, metrics)
     private var activeEpoch: Long? = null
     private var lastEpoch: Long? = null
 
-    /**
-     * Returns the holdings that changed at [changedSinceMs] or later, for the report to the peers; null returns all
-     * recently changed holdings and loads in progress.
-     */
-    fun announcements(changedSinceMs: Long?): List<HoldingsReport> {
-        val now = steadyMs()
-        return announcementsByEngine.values
-            .filter {
-                if (changedSinceMs != null) it.announcedAtMs >= changedSinceMs else it.isCurrent(now)
-            }
-            .map { it.report.copy(loadedInMs = it.loadedInMs(now)) }
-    }
+    /** Returns the holdings of engines for a report to the peers; see [HoldingsAnnouncements.reports]. */
+    fun announcements(changedSinceMs: Long?): List<HoldingsReport> = announcements.reports(changedSinceMs, steadyMs())
 
     /** Returns the time until the first load of [model] ends, in milliseconds, or null if none is in progress. */
-    fun loadedInMs(model: String): Long? {
-        val now = steadyMs()
-        return announcementsByEngine.values.filter { it.report.loading == model }.minOfOrNull { it.loadedInMs(now) }
-    }
-
-    private fun Announcement.isCurrent(now: Long) =
-        announcedAtMs >= now - ANNOUNCEMENT_LIFETIME_MS || report.loading != null
-
-    private fun Announcement.loadedInMs(now: Long) = (loadedAtMs - now).coerceAtLeast(MIN_REMAINING_LOAD_MS)
+    fun loadedInMs(model: String): Long? = announcements.loadedInMs(model, steadyMs())
 
     /** Requests an early planning round, because an input of the planner has changed. */
     fun reconcileSoon() {
@@ -165,7 +140,7 @@
         lastEpoch = current
         trackers.clear()
         reportRequestedAtMs.clear()
-        announcementsByEngine.clear()
+        announcements.clear()
         storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
         if (current != FIRST_EPOCH) storeLoadLimiter.assumeWindowUsed(steadyMs())
     }
@@ -214,6 +189,8 @@
         "source" to source,
     )
 
+    private fun EngineTracker.announcedModel() = runningLoad?.model ?: pendingModel
+
     private fun announce(tracker: EngineTracker) {
         val id = tracker.incarnation.id
         val now = steadyMs()
@@ -224,13 +201,11 @@
             bornMs = tracker.incarnation.bornMs,
             orderCount = tracker.holdings.orderCount,
             models = models.mapValues { (_, held) -> held.adapters },
-            loading = runningLoad?.model ?: tracker.pendingModel,
+            loading = tracker.announcedModel(),
             loadedInMs = 0,
         )
-        val previous = announcementsByEngine[id]
-        if (previous?.report == report) return
-        announcementsByEngine[id] =
-            Announcement(report, now, runningLoad?.expectedAtMs ?: tracker.pendingLoad?.readyAtMs ?: now)
+        val loadedAtMs = runningLoad?.expectedAtMs ?: tracker.pendingLoad?.readyAtMs ?: now
+        if (!announcements.announce(report, loadedAtMs, now)) return
         table.announce(tracker.incarnation, tracker.holdings.copy(models = models), now)
         fleet.announceSoon()
     }
@@ -251,13 +226,17 @@
             val orders = planner.plan(engines, serviceDemand, usageHistory, available, prefetch = true, nowMs = now)
             orders.forEach { sendOrder(scope, it, epoch, now) }
             monitor.onPlanned(service, engines, serviceDemand, available, now)
+            // The planner gives up pending loads that can't go on.
+            engines.map { it.tracker }
+                .filter { announcements.announcedLoad(it.incarnation.id) != it.announcedModel() }
+                .forEach(::announce)
         }
         val knownIds = table.all().mapTo(HashSet()) { it.incarnation.id }
         trackers.filterKeys { it !in knownIds }.values.forEach { lost ->
             lost.runningLoad?.let { logLoadEnd(lost, it, source = "engine gone") }
         }
         trackers.keys.retainAll(knownIds)
-        announcementsByEngine.keys.retainAll(knownIds)
+        announcements.retain(knownIds)
     }
 
     private fun toEngineSnapshot(
@@ -377,14 +356,6 @@
         /** Delay after the expected end of a load at which the load counts as complete, in milliseconds. */
         const val LOAD_SETTLE_DELAY_MS = 13L
 
-        /**
-         * How long changed holdings are announced, in milliseconds: the platform's endpoint list shows them by then.
-         */
-        const val ANNOUNCEMENT_LIFETIME_MS = 3_000L
-
-        /** Minimum time that a load in progress is reported to take, in milliseconds: a copy from host memory. */
-        const val MIN_REMAINING_LOAD_MS = 200L
-
         /**
          * Minimum interval between report requests to one engine, in milliseconds: an engine's report lags by about 100
          * ms.
