Prefetch only once the list of engines is complete

The holder now prefetches once no engine has joined or left for 2.5 s. No test of its own: OrderController has no stand-in for its lease.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -88,6 +88,8 @@
     private val announcements = HoldingsAnnouncements()
     private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
     private val monitor = ResidencyMonitor(log, metrics)
+    private var knownEngines: Set<String> = emptySet()
+    private var endpointsChangedAtMs = 0L
     private var activeEpoch: Long? = null
     private var lastEpoch: Long? = null
 
@@ -223,7 +225,8 @@
             val available = storeLoadLimiter.availableLoads(now, engineSpec.loadsPerSecond)
             val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand)
             val planner = ResidencyPlanner(engineSpec)
-            val orders = planner.plan(engines, serviceDemand, usageHistory, available, prefetch = true, nowMs = now)
+            val prefetch = now - endpointsChangedAtMs >= PREFETCH_DELAY_MS
+            val orders = planner.plan(engines, serviceDemand, usageHistory, available, prefetch, now)
             orders.forEach { sendOrder(scope, it, epoch, now) }
             monitor.onPlanned(service, engines, serviceDemand, available, now)
             // The planner gives up pending loads that can't go on.
@@ -232,6 +235,10 @@
                 .forEach(::announce)
         }
         val knownIds = table.all().mapTo(HashSet()) { it.incarnation.id }
+        if (trackers.keys != knownEngines) {
+            knownEngines = trackers.keys.toSet()
+            endpointsChangedAtMs = now
+        }
         trackers.filterKeys { it !in knownIds }.values.forEach { lost ->
             lost.runningLoad?.let { logLoadEnd(lost, it, source = "engine gone") }
         }
@@ -368,6 +375,12 @@
          */
         const val ORDER_TIMEOUT_MS = 200L
 
+        /**
+         * Time without new or lost engines before models are prefetched, in milliseconds: engines that hold them may be
+         * listed later than others.
+         */
+        const val PREFETCH_DELAY_MS = 2_500L
+
         /** Timeout for a report of an engine, in milliseconds. */
         const val REPORT_TIMEOUT_MS = 500L
     }
