Limit the loads from the weight store by those under way

Cause: loads were admitted by the rate of the store (19 a second), while it runs 2 at full speed and each further one takes 3.9 s longer. Of 61 loads ordered in 34 s two had a logged end. A served model was unloaded for each, and its engine took no other order meanwhile: 49 of 50 engines from 28 s on. What had been evicted was then needed from the store.

StoreConcurrency learns how many loads run at full speed from how long they take. A load gets its turn before a model is evicted for it (StoreTurns). What waits for a turn is ordered by urgency, number of requests and wait. The only copy of a requested model is evicted for a load from the store only if nothing else is left. Expected ends count the loads under way; an overdue load no longer counts as one that is about to end; pending loads that can't go on are given up.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -30,6 +30,8 @@
 import io.daisybend.serving.residency.QueuedDemand
 import io.daisybend.serving.residency.ResidencyPlanner
 import io.daisybend.serving.residency.RunningLoad
+import io.daisybend.serving.residency.StoreConcurrency
+import io.daisybend.serving.residency.StoreLoadAllowance
 import io.daisybend.serving.residency.StoreLoadLimiter
 import io.daisybend.serving.residency.UsageHistory
 import io.daisybend.serving.residency.WeightSource
@@ -88,6 +90,7 @@
     private val announcements = HoldingsAnnouncements()
     private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
     private val monitor = ResidencyMonitor(log, metrics)
+    private val storeConcurrency = StoreConcurrency()
     private var knownEngines: Set<String> = emptySet()
     private var endpointsChangedAtMs = 0L
     private var activeEpoch: Long? = null
@@ -176,18 +179,32 @@
         val report = event.report ?: return
         val previousLoad = tracker.runningLoad
         tracker.onReport(report, steadyMs())
-        if (previousLoad != null && tracker.runningLoad == null) logLoadEnd(tracker, previousLoad, source = "report")
+        if (previousLoad != null && tracker.runningLoad == null) onLoadReported(tracker, previousLoad)
         announce(tracker)
     }
 
+    /** Learns from the duration of a load that a report showed in time; the list of endpoints shows ends too late. */
+    private fun onLoadReported(tracker: EngineTracker, load: RunningLoad) {
+        val now = steadyMs()
+        val coldLoadMs = configuration()?.configuration?.services?.values
+            ?.firstNotNullOfOrNull { it.engine?.models?.get(load.model) }?.coldLoadMs
+        val isHeld = load.model in tracker.holdings.models
+        if (isHeld && load.concurrentStoreLoads > 0 && coldLoadMs != null) {
+            storeConcurrency.onLoadEnded(load.concurrentStoreLoads, now - load.startedAtMs, coldLoadMs, now)
+        }
+        logLoadEnd(tracker, load, source = "report")
+    }
+
     private fun logLoadEnd(tracker: EngineTracker, load: RunningLoad, source: String) = log.write(
         "load-ended",
         "engine" to tracker.incarnation.id,
         "model" to load.model,
         "held" to (load.model in tracker.holdings.models),
         "tookMs" to steadyMs() - load.startedAtMs,
-        "expectedMs" to load.expectedAtMs - load.startedAtMs,
+        "expectedMs" to load.expectedMs,
+        "storeLoadsAtStart" to load.concurrentStoreLoads,
         "storeLoads" to ResidencyMonitor.storeLoadsOf(trackers.values),
+        "storeLoadLimit" to storeConcurrency.limit,
         "source" to source,
     )
 
@@ -222,13 +239,16 @@
             val engineSpec = service.engine ?: return@forEach
             val engines = table.ofService(service.name).mapNotNull { toEngineSnapshot(it, engineSpec, uses, now) }
             engines.forEach { requestReportIfNeeded(scope, it.tracker, now) }
-            val available = storeLoadLimiter.availableLoads(now, engineSpec.loadsPerSecond)
+            val storeLoads = StoreLoadAllowance(
+                starts = storeLoadLimiter.availableLoads(now, engineSpec.loadsPerSecond),
+                concurrent = storeConcurrency.limit,
+            )
             val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand)
             val planner = ResidencyPlanner(engineSpec)
             val prefetch = now - endpointsChangedAtMs >= PREFETCH_DELAY_MS
-            val orders = planner.plan(engines, serviceDemand, usageHistory, available, prefetch, now)
+            val orders = planner.plan(engines, serviceDemand, usageHistory, storeLoads, prefetch, now)
             orders.forEach { sendOrder(scope, it, epoch, now) }
-            monitor.onPlanned(service, engines, serviceDemand, available, now)
+            monitor.onPlanned(service, engines, serviceDemand, storeLoads, now)
             // The planner gives up pending loads that can't go on.
             engines.map { it.tracker }
                 .filter { announcements.announcedLoad(it.incarnation.id) != it.announcedModel() }
@@ -310,9 +330,10 @@
         val tracker = planned.engine.tracker
         val id = tracker.incarnation.id
         val entry = table.find(id)?.entry ?: return
-        if (order is EngineOrder.LoadModel && order.source == WeightSource.STORE) storeLoadLimiter.onLoadStarted(now)
-        val orderCount = tracker.onSent(order)
         val isModelLoad = order is EngineOrder.LoadModel
+        val isStoreLoad = order is EngineOrder.LoadModel && order.source == WeightSource.STORE
+        if (isStoreLoad) storeLoadLimiter.onLoadStarted(now)
+        val orderCount = tracker.onSent(order, if (isStoreLoad) concurrentStoreLoads(now) + 1 else 0)
         log.write(
             "order-sent",
             "engine" to id,
@@ -334,6 +355,10 @@
         }
     }
 
+    /** Returns the loads from the store under way, or -1 while an engine executes an order that is not known. */
+    private fun concurrentStoreLoads(now: Long): Int =
+        if (trackers.values.any { it.hasUnknownOrder }) -1 else trackers.values.count { it.mayLoadFromStore(now) }
+
     private fun recordUsage(now: Long) {
         fleet.allRequestCounts().forEach { (vm, counts) ->
             val knownCounts = lastRequestCounts.getOrPut(vm) { HashMap() }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/ResidencyMonitor.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/ResidencyMonitor.kt
@@ -12,6 +12,7 @@
 import io.daisybend.serving.residency.EngineSnapshot
 import io.daisybend.serving.residency.EngineTracker
 import io.daisybend.serving.residency.QueuedDemand
+import io.daisybend.serving.residency.StoreLoadAllowance
 import io.daisybend.serving.residency.WeightSource
 import io.daisybend.serving.site.Service
 import java.util.concurrent.ConcurrentHashMap
@@ -62,12 +63,12 @@
     /** Shows zeros while this VM does not hold the order duty. */
     fun reset() = stateByService.clear()
 
-    /** Records the state after a planning round at [nowMs], with [storeLoadsAllowed] further loads from the store. */
+    /** Records the state after a planning round at [nowMs] that was allowed [storeLoadAllowance]. */
     fun onPlanned(
         service: Service,
         engines: List<EngineSnapshot>,
         queued: List<QueuedDemand>,
-        storeLoadsAllowed: Int,
+        storeLoadAllowance: StoreLoadAllowance,
         nowMs: Long,
     ) {
         val usable = engines.filter { it.isUsable }.map { it.tracker }
@@ -93,7 +94,8 @@
             "unloading" to usable.count { it.unloadingModel != null },
             "storeLoads" to storeLoads,
             "overdueLoads" to usable.count { it.isOverdue(nowMs) },
-            "storeLoadsAllowed" to storeLoadsAllowed,
+            "storeLoadLimit" to storeLoadAllowance.concurrent,
+            "storeLoadStarts" to storeLoadAllowance.starts,
         )
     }
 
--- a/entry/src/test/kotlin/io/daisybend/entry/orders/ResidencyMonitorTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/orders/ResidencyMonitorTest.kt
@@ -11,6 +11,7 @@
 import io.daisybend.serving.residency.OrderAnswer
 import io.daisybend.serving.residency.PendingLoad
 import io.daisybend.serving.residency.QueuedDemand
+import io.daisybend.serving.residency.StoreLoadAllowance
 import io.daisybend.serving.residency.WeightSource
 import io.daisybend.serving.site.EngineSpec
 import io.daisybend.serving.site.Service
@@ -81,8 +82,8 @@
         val metrics = Metrics()
         val monitor = ResidencyMonitor(EventLog("vm"), metrics)
         val queued = listOf(demand("lost"), demand("lost").copy(urgency = 2), demand("next"))
-        val service = Service(name = "llm", maxConnections = 8, engine = spec)
-        monitor.onPlanned(service, trackers.map(::snapshot), queued, storeLoadsAllowed = 1, nowMs = 1_000)
+        val allowance = StoreLoadAllowance(starts = 1, concurrent = 4)
+        monitor.onPlanned(Service("llm", 8, spec), trackers.map(::snapshot), queued, allowance, nowMs = 1_000)
         metrics.text() shouldContain "daisybend_store_loads_under_way 1.0"
         metrics.text() shouldContain "daisybend_models_waiting{state=\"not_ordered\"} 1.0"
         metrics.text() shouldContain "daisybend_models_waiting{state=\"making_way\"} 1.0"
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointEntry.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointEntry.kt
@@ -19,7 +19,13 @@
     val onDisk: Set<String> = emptySet(),
     val busy: Boolean = false,
     val loadingAdapters: Set<AdapterKey> = emptySet(),
-)
+) {
+    /** Returns the models that the engine holds, or has a copy of in its memory or on its disk. */
+    public fun copies(): Set<String> = models.keys + inMemory + onDisk
+
+    /** Returns whether the engine holds [model], or has a copy of it in its memory or on its disk. */
+    public fun hasCopy(model: String): Boolean = model in models || model in inMemory || model in onDisk
+}
 
 /** An adapter of a model. */
 public data class AdapterKey(val model: String, val adapter: String)
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineOrder.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineOrder.kt
@@ -3,6 +3,8 @@
  */
 package io.daisybend.serving.residency
 
+import io.daisybend.serving.endpoint.EngineHoldings
+
 /** An order to an engine. */
 public sealed interface EngineOrder {
     /** The model that the order loads or unloads, or whose adapter it loads or unloads. */
@@ -49,7 +51,27 @@
     val startedAtMs: Long,
     /** Whether the load ends as expected; otherwise only a report shows its end. */
     val isPredictable: Boolean,
-)
+    /** The loads from the store under way at its start, with this one, or 0 if their number is not known. */
+    val concurrentStoreLoads: Int = 0,
+) {
+    /** The expected duration, in milliseconds. */
+    val expectedMs: Long get() = expectedAtMs - startedAtMs
+}
 
 /** A load of [model] that first needs other models to be unloaded; [readyAtMs] is its expected end. */
-public data class PendingLoad(val model: String, val readyAtMs: Long)
+public data class PendingLoad(val model: String, val readyAtMs: Long) {
+    /** Returns whether the load should have ended so long before [nowMs] that it will not go on. */
+    public fun isOverdue(nowMs: Long): Boolean = nowMs > readyAtMs + MAX_OVERRUN_MS
+
+    private companion object {
+        /** Time after its expected end at which a pending load is given up, in milliseconds. */
+        const val MAX_OVERRUN_MS = 3_000L
+    }
+}
+
+/** Returns where an engine with these holdings loads [model] from. */
+internal fun EngineHoldings.sourceOf(model: String): WeightSource = when (model) {
+    in inMemory -> WeightSource.MEMORY
+    in onDisk -> WeightSource.DISK
+    else -> WeightSource.STORE
+}
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -12,6 +12,7 @@
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.site.EngineSpec
+import kotlin.math.abs
 
 private data class UnansweredOrder(val expected: Long, val order: EngineOrder, val sentAtMs: Long)
 
@@ -55,7 +56,14 @@
 
     private val loadedAtMs = HashMap<String, Long>()
     private var conflicts = 0
-    private var isBusyWithUnknownOrder = false
+    private var unknownOrderSinceMs: Long? = null
+
+    /** The loads from the store under way, with its own, when the outstanding order was sent. */
+    private var concurrentStoreLoads = 0
+
+    /** Whether the engine executes an order that this tracker did not see accepted. */
+    public val hasUnknownOrder: Boolean get() = unknownOrderSinceMs != null
+
     private val copies = RecentCopies(spec)
 
     /** The time until which the engine is expected to refuse orders, in milliseconds. */
@@ -66,12 +74,25 @@
     public val loadingModel: String?
         get() = runningLoad?.model ?: (outstandingOrder as? EngineOrder.LoadModel)?.model
 
+    /**
+     * Returns whether the engine loads from the weight store at [nowMs], or may do so by an outstanding or an unknown
+     * order. What should long have ended counts no more: no report of the engine may arrive.
+     */
+    public fun mayLoadFromStore(nowMs: Long): Boolean {
+        val load = runningLoad
+        return when {
+            load != null -> !load.isPredictable && nowMs < load.startedAtMs + load.expectedMs * MAX_LOAD_OVERRUN
+            outstandingOrder != null -> (outstandingOrder as? EngineOrder.LoadModel)?.source == WeightSource.STORE
+            else -> unknownOrderSinceMs?.let { nowMs - it < MAX_ORDER_DELAY_MS } ?: false
+        }
+    }
+
     /** Returns whether an order may be sent at [nowMs]; an engine executes one order at a time. */
     public fun acceptsOrders(nowMs: Long): Boolean =
         outstandingOrder == null &&
             runningLoad == null &&
             unloadingModel == null &&
-            !isBusyWithUnknownOrder &&
+            !hasUnknownOrder &&
             !needsReport &&
             nowMs >= retryAtMs
 
@@ -80,12 +101,15 @@
         val load = runningLoad
         val isLoadDue = load != null && !load.isPredictable && nowMs >= load.expectedAtMs
         val isUnloading = unloadingModel != null || unloadingAdapters.isNotEmpty()
-        return needsReport || isUnloading || isBusyWithUnknownOrder || isLoadDue
+        return needsReport || isUnloading || hasUnknownOrder || isLoadDue
     }
 
-    /** Returns the expected time until the engine accepts orders, in milliseconds. */
+    /**
+     * Returns the expected time until the engine accepts orders, in milliseconds. An overdue load is expected to take
+     * as long again as it is overdue.
+     */
     public fun busyForMs(nowMs: Long): Long =
-        runningLoad?.let { (it.expectedAtMs - nowMs).coerceAtLeast(0) }
+        runningLoad?.let { abs(it.expectedAtMs - nowMs) }
             ?: if (acceptsOrders(nowMs)) 0 else ASSUMED_BUSY_MS
 
     /** Returns how long the engine has held [model], in milliseconds, or null when no load of it was seen. */
@@ -139,9 +163,13 @@
                 (it.order as? EngineOrder.LoadAdapter)?.let { order -> AdapterKey(order.model, order.adapter) }
             }
 
-    /** Records that [order] is sent; returns the order count that it must name. */
-    public fun onSent(order: EngineOrder): Long {
+    /**
+     * Records that [order] is sent; returns the order count that it must name. A load from the store is one of
+     * [concurrentStoreLoads], or 0 if their number is not known.
+     */
+    public fun onSent(order: EngineOrder, concurrentStoreLoads: Int = 0): Long {
         outstandingOrder = order
+        this.concurrentStoreLoads = concurrentStoreLoads
         return holdings.orderCount
     }
 
@@ -177,8 +205,8 @@
         conflicts = 0
         when (order) {
             is EngineOrder.LoadModel -> {
-                runningLoad =
-                    RunningLoad(order.model, expectedAtMs, nowMs, isPredictable = order.source != WeightSource.STORE)
+                val isPredictable = order.source != WeightSource.STORE
+                runningLoad = RunningLoad(order.model, expectedAtMs, nowMs, isPredictable, concurrentStoreLoads)
                 if (pendingModel == order.model) pendingLoad = null
             }
             is EngineOrder.UnloadModel -> {
@@ -231,7 +259,8 @@
         val overdueModel = loadedButUnreported.keys.firstOrNull { (heldForMs(it, nowMs) ?: 0) > REPORT_AFTER_LOAD_MS }
         if (overdueModel != null && report.busy && runningLoad == null) resumeLoad(overdueModel, nowMs)
         // The engine is busy with no known order, so it is executing an order whose answer was lost.
-        isBusyWithUnknownOrder = report.busy && runningLoad == null && unloadingModel == null
+        val hasUnknownOrder = report.busy && runningLoad == null && unloadingModel == null
+        unknownOrderSinceMs = nowMs.takeIf { hasUnknownOrder }?.let { unknownOrderSinceMs ?: it }
         pendingLoad = pendingLoad?.takeUnless { it.model in holdings.models }
         if (hasAcceptedOrders) removeSupersededOrders()
         unansweredOrders.removeAll { nowMs - it.sentAtMs > MAX_ORDER_DELAY_MS }
@@ -319,6 +348,9 @@
         /** Maximum lag of the platform's list behind an engine, in milliseconds: two heartbeats and a read. */
         const val LIST_LAG_MS = 3_500L
 
+        /** Multiple of its expected duration after which a load is not counted any more. */
+        const val MAX_LOAD_OVERRUN = 3
+
         /** Time after which an unanswered order can no longer take effect, in milliseconds. */
         const val MAX_ORDER_DELAY_MS = 14_000L
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -1,9 +1,13 @@
 /*
  * Plans the orders to engines. First come loads of models and adapters that requests wait for, by urgency and then by
- * waiting time. Second come further replicas of models whose engines are all overloaded. Third, while no requests wait,
- * come models without a copy on any engine's disk, so that the first request for them finds a copy. Models are evicted
- * by least cost: models with runs, recently used models and models without another replica cost more. An engine that
- * gets more requests than the limit that it named is relieved of its most requested model, and it gets no further ones.
+ * the number and the waiting time of these requests. Second come further replicas of models whose engines are all
+ * overloaded. Third, while no requests wait, come models without a copy on any engine's disk, so that the first request
+ * for them finds a copy. Models are evicted by least cost: models with runs, recently used models and models without
+ * another replica cost more. An engine that gets more requests than the limit that it named is relieved of its most
+ * requested model, and it gets no further ones.
+ *
+ * Loads from the weight store beyond its allowance wait here, where they can still be ordered by urgency. No model is
+ * evicted for them, and no engine is occupied, before they have their turn.
  */
 package io.daisybend.serving.residency
 
@@ -103,8 +107,6 @@
     val runInterferenceMs: Double = 6.0,
     /** Cost of a model that gets as many requests as the limit of its engine allows, in milliseconds. */
     val limitCostMs: Double = 4_000.0,
-    /** Concurrent loads from the store that run at full speed; more of them slow each other down. */
-    val maxFullSpeedStoreLoads: Int = 4,
 )
 
 /** Plans orders for the engines of one service; stateless, except that it sets pending loads of the trackers. */
@@ -112,18 +114,18 @@
     private val spec: EngineSpec,
     private val settings: PlannerSettings = PlannerSettings(),
 ) {
-    /** Returns the orders to send at [nowMs], at most one per engine and [storeLoads] loads from the store. */
+    /** Returns the orders to send at [nowMs], at most one per engine, with the loads that [storeLoads] allows. */
     public fun plan(
         engines: List<EngineSnapshot>,
         queued: List<QueuedDemand>,
         history: UsageHistory,
-        storeLoads: Int,
+        storeLoads: StoreLoadAllowance,
         prefetch: Boolean,
         nowMs: Long,
     ): List<PlannedOrder> {
-        val round = PlanningRound(engines.filter { it.isUsable }, queued, history, storeLoads, nowMs)
+        val round = PlanningRound(engines, queued, history, storeLoads, nowMs)
         round.resumePendingLoads()
-        queued.sortedWith(compareBy<QueuedDemand> { it.urgency }.thenByDescending { it.waitedMs }).forEach { entry ->
+        inOrderOfNeed(queued).forEach { entry ->
             if (entry.adapter != null) round.planAdapter(entry.model, entry.adapter) else round.planModel(entry.model)
         }
         round.addReplicas()
@@ -131,13 +133,23 @@
         return round.orders
     }
 
+    /** Returns [queued] by urgency, and then by the number of requests for a model and how long they have waited. */
+    private fun inOrderOfNeed(queued: List<QueuedDemand>): List<QueuedDemand> {
+        val waitedMs = queued.groupingBy { it.model to it.urgency }
+            .fold(0L) { sum, entry -> sum + entry.count * entry.waitedMs }
+        return queued.sortedWith(
+            compareBy<QueuedDemand> { it.urgency }.thenByDescending { waitedMs.getValue(it.model to it.urgency) },
+        )
+    }
+
     private inner class PlanningRound(
-        private val engines: List<EngineSnapshot>,
+        allEngines: List<EngineSnapshot>,
         private val queued: List<QueuedDemand>,
         private val history: UsageHistory,
-        private var storeLoads: Int,
+        storeLoads: StoreLoadAllowance,
         private val nowMs: Long,
     ) {
+        private val engines = allEngines.filter { it.isUsable }
         val orders = ArrayList<PlannedOrder>()
         private val orderedEngines = HashSet<EngineSnapshot>()
         private val plannedDelaysMs = HashMap<EngineSnapshot, Double>()
@@ -145,6 +157,17 @@
         private val loadsByEngine = HashMap<EngineSnapshot, String>()
         private val strained = HashMap<EngineSnapshot, Boolean>()
         private val queuedModels = queued.mapTo(HashSet()) { it.model }
+        private val copies by lazy(LazyThreadSafetyMode.NONE) { CopyIndex(engines) }
+        private val storeTurns: StoreTurns
+
+        init {
+            // A pending load that can't go on keeps its model from being loaded elsewhere.
+            allEngines.map { it.tracker }.forEach { tracker ->
+                val load = tracker.pendingLoad ?: return@forEach
+                if (load.model !in spec.models || load.isOverdue(nowMs)) tracker.pendingLoad = null
+            }
+            storeTurns = StoreTurns(storeLoads, allEngines, nowMs)
+        }
 
         /** Continues the pending loads of engines that accept orders again. */
         fun resumePendingLoads() {
@@ -162,6 +185,7 @@
         fun planModel(model: String) {
             val spec = spec.models[model] ?: return
             if (model in plannedModels || engines.any { serves(it, model) }) return
+            if (!copies.hasCopy(model) && !storeTurns.isAvailable) return
             if (engines.any { it.tracker.willHold(model) }) {
                 loadOnBestEngine(spec, "its engines are at their limits", onlyCheapVictims = true)
             } else {
@@ -214,8 +238,9 @@
 
         fun prefetch() {
             if (queued.isNotEmpty()) return
-            val runningLoads = engines.count { it.tracker.runningLoad != null || it.tracker.pendingModel != null }
-            if (runningLoads >= settings.maxFullSpeedStoreLoads) return
+            // While requests come, one load remains free for a model that they need.
+            val spareLoads = if (engines.any { it.inFlight > 0 }) 1 else 0
+            if (storeTurns.free <= spareLoads) return
             val modelsWithCopy = engines.flatMapTo(HashSet()) {
                 it.tracker.holdings.onDisk + it.tracker.reservedModels() + setOfNotNull(it.tracker.pendingModel)
             }
@@ -236,7 +261,7 @@
                 .filter { it.delayMs() <= maxDelayMs }
                 .mapNotNull { loadOptionFor(it, model, onlyCheapVictims) }
                 .filter { !onlyFromCopy || it.source != WeightSource.STORE }
-                .filter { it.source != WeightSource.STORE || storeLoads > 0 }
+                .filter { it.source != WeightSource.STORE || storeTurns.isAvailable }
                 .minByOrNull { it.costMs } ?: return
             val tracker = best.engine.tracker
             val isReady = best.isPossibleNow && tracker.pendingModel == null && tracker.acceptsOrders(nowMs)
@@ -254,8 +279,9 @@
             if (victim != null) {
                 val waitMs = option.victims.maxOf { remainingRunMs(engine, it) }.toLong()
                 val unloadsMs = option.victims.size * EngineTracker.UNLOAD_MS
-                engine.tracker.pendingLoad =
-                    PendingLoad(model.name, nowMs + waitMs + unloadsMs + loadMs(model, option.source))
+                val loadMs = loadMs(engine, model, option.source)
+                if (option.source == WeightSource.STORE) storeTurns.take(engine)
+                engine.tracker.pendingLoad = PendingLoad(model.name, nowMs + waitMs + unloadsMs + loadMs)
                 val hasRuns = (engine.runsByModel[victim] ?: 0) > 0
                 addOrder(
                     engine,
@@ -265,21 +291,20 @@
                 )
                 return
             }
-            if (option.source == WeightSource.STORE) {
-                if (storeLoads <= 0) return
-                storeLoads--
-            }
-            addOrder(engine, EngineOrder.LoadModel(model.name, option.source), loadMs(model, option.source), reason)
+            if (option.source == WeightSource.STORE && !storeTurns.maySend) return
+            val loadMs = loadMs(engine, model, option.source)
+            if (option.source == WeightSource.STORE) storeTurns.take(engine)
+            addOrder(engine, EngineOrder.LoadModel(model.name, option.source), loadMs, reason)
         }
 
         private fun loadOptionFor(engine: EngineSnapshot, model: ModelSpec, onlyCheapVictims: Boolean): LoadOption? {
-            val source = engine.sourceOf(model.name)
+            val source = engine.tracker.holdings.sourceOf(model.name)
             val victims = ArrayList<String>()
             var victimsCostMs = 0.0
             var availableMb = freeMb(engine, excluding = model.name)
             val candidates = (engine.tracker.holdings.models.keys + listOfNotNull(loadingModelOf(engine)))
                 .filter { it != model.name }
-                .map { it to evictionCostMs(engine, it) + minStayLeftMs(engine, it) }
+                .map { it to evictionCostMs(engine, it, source) + minStayLeftMs(engine, it) }
                 .sortedBy { it.second }
                 .toMutableList()
             while (availableMb < model.weightsMb) {
@@ -300,7 +325,8 @@
                 engine = engine,
                 source = source,
                 victims = victims,
-                costMs = loadMs(model, source) + victimsCostMs + interferenceMs + waitMs + limitMs + storePenaltyMs,
+                costMs =
+                loadMs(engine, model, source) + victimsCostMs + interferenceMs + waitMs + limitMs + storePenaltyMs,
                 isPossibleNow = victims.all { minStayLeftMs(engine, it) == 0L },
             )
         }
@@ -320,29 +346,35 @@
             return (engine.runsEndInMs[model] ?: 0).coerceAtLeast(MIN_RUN_LEFT_MS).toDouble()
         }
 
-        private fun evictionCostMs(engine: EngineSnapshot, model: String): Double {
+        private fun evictionCostMs(engine: EngineSnapshot, model: String, source: WeightSource): Double {
             val isHeldElsewhere =
                 engines.any { it !== engine && !it.isStrained() && model in it.tracker.holdings.models }
             val share = if (isHeldElsewhere) settings.replicatedCostShare else 1.0
             val recentMs = (RECENT_USE_MS - (nowMs - history.lastUseMs(model))).coerceAtLeast(0)
+            val soleHolderMs = if (isHeldElsewhere) 0.0 else SOLE_HOLDER_COST_MS
+            val unreachableMs =
+                if (source == WeightSource.STORE && !copies.hasOtherCopy(engine, model)) storeLoadRiskMs(model) else 0.0
             return remainingRunMs(engine, model).coerceAtMost(settings.maxRunWaitMs) +
+                soleHolderMs +
+                unreachableMs +
                 share *
                 (history.ratePerSecond(model, nowMs) * settings.evictionCostMsPerRps + recentMs * RECENT_USE_WEIGHT)
         }
 
-        private fun EngineSnapshot.sourceOf(model: String): WeightSource = when (model) {
-            in tracker.holdings.inMemory -> WeightSource.MEMORY
-            in tracker.holdings.onDisk -> WeightSource.DISK
-            else -> WeightSource.STORE
+        /**
+         * Returns the cost of a load of [model] from the store, weighted with the chance that it is requested while its
+         * only copy is on an engine that loads from the store and takes no other order.
+         */
+        private fun storeLoadRiskMs(model: String): Double {
+            val coldLoadMs = spec.models[model]?.coldLoadMs ?: return 0.0
+            val requestsExpected = rateOf(model) * coldLoadMs / MILLIS_PER_SECOND
+            return requestsExpected.coerceAtMost(1.0) * (coldLoadMs + settings.storeLoadPenaltyMs)
         }
 
-        private fun loadMs(model: ModelSpec, source: WeightSource): Long = when (source) {
+        private fun loadMs(engine: EngineSnapshot, model: ModelSpec, source: WeightSource): Long = when (source) {
             WeightSource.MEMORY -> model.memoryLoadMs
             WeightSource.DISK -> model.diskLoadMs
-            WeightSource.STORE -> {
-                val runningLoads = engines.count { it.tracker.runningLoad != null } + 1
-                model.coldLoadMs * maxOf(1, runningLoads / settings.maxFullSpeedStoreLoads)
-            }
+            WeightSource.STORE -> storeTurns.expectedLoadMs(engine, model.coldLoadMs)
         }
 
         private fun EngineSnapshot.delayMs() = pendingPromptTokens / settings.prefillTokensPerMs + inFlight
@@ -401,6 +433,8 @@
     )
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+
         /** Time to load an adapter, in milliseconds. */
         const val ADAPTER_LOAD_MS = 10L
 
@@ -422,6 +456,9 @@
         /** Eviction cost for each millisecond by which a use is more recent. */
         const val RECENT_USE_WEIGHT = 0.2
 
+        /** Eviction cost of a model that no other engine holds, in milliseconds, also while nobody requests it. */
+        const val SOLE_HOLDER_COST_MS = 100.0
+
         /** Maximum eviction cost of a model for a prefetch, in milliseconds. */
         const val MAX_PREFETCH_EVICTION_COST_MS = 250.0
     }
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
@@ -180,6 +180,34 @@
         answered.pendingModel shouldBe null
     }
 
+    // Engines whose loads took longer than expected seemed free at any moment, so others were not used.
+    test("an overdue load is expected to take as long again as it is overdue") {
+        val tracker = EngineTracker(Incarnation("e", 1), EngineHoldings(0, emptyMap()), engineSpec)
+        tracker.onSent(EngineOrder.LoadModel("m1", WeightSource.STORE), concurrentStoreLoads = 2)
+        tracker.onAnswer(OrderAnswer.Accepted, nowMs = 1_000, expectedAtMs = 7_000)
+        tracker.busyForMs(3_000) shouldBe 4_000
+        tracker.busyForMs(10_000) shouldBe 3_000
+        tracker.runningLoad?.concurrentStoreLoads shouldBe 2
+    }
+
+    test("a load from the store counts until it ends, or until it should long have ended") {
+        val tracker = EngineTracker(Incarnation("e", 1), EngineHoldings(0, emptyMap()), engineSpec)
+        tracker.mayLoadFromStore(0) shouldBe false
+        tracker.onSent(EngineOrder.LoadModel("m1", WeightSource.STORE))
+        tracker.mayLoadFromStore(500) shouldBe true
+        tracker.onAnswer(OrderAnswer.Accepted, nowMs = 1_000, expectedAtMs = 7_000)
+        tracker.mayLoadFromStore(18_000) shouldBe true
+        tracker.mayLoadFromStore(19_000) shouldBe false
+    }
+
+    test("an order of another VM counts as a load from the store while its engine is busy") {
+        val tracker = EngineTracker(Incarnation("e", 1), EngineHoldings(0, emptyMap()), engineSpec)
+        tracker.onReport(EngineHoldings(0, emptyMap(), busy = true), nowMs = 1_000)
+        tracker.mayLoadFromStore(2_000) shouldBe true
+        tracker.onReport(EngineHoldings(1, emptyMap()), nowMs = 5_000)
+        tracker.mayLoadFromStore(5_000) shouldBe false
+    }
+
     // An engine was ordered to load a ninth adapter into eight places while an unload waited for its runs.
     test("an adapter takes its place until a report shows that its accepted unload is done") {
         fun holdings(orderCount: Long, vararg adapters: String) =
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
@@ -14,6 +14,7 @@
     private val planner = ResidencyPlanner(spec, settings)
     private val history = UsageHistory()
     private val limiter = StoreLoadLimiter(windowMs = 5_000)
+    private val concurrency = StoreConcurrency()
 
     override fun order(
         engines: List<ReplayedEngine>,
@@ -30,7 +31,8 @@
             QueuedDemand(model, adapter, requests.size, urgency, waitedMs = nowMs - requests.minOf { it.arrivedAtMs })
         }
         val allowed = if (isStoreUnavailable) 0 else limiter.availableLoads(nowMs, spec.loadsPerSecond)
-        planner.plan(planned, queued, history, allowed, prefetch = true, nowMs = nowMs).forEach {
+        val storeLoads = StoreLoadAllowance(allowed, concurrency.limit)
+        planner.plan(planned, queued, history, storeLoads, prefetch = true, nowMs = nowMs).forEach {
             send(it, engines, nowMs)
         }
     }
@@ -40,7 +42,7 @@
             EngineTracker(Incarnation(engine.id, 0), engine.report(nowMs), spec)
         }
         tracker.completeDueLoad(nowMs)
-        if (tracker.shouldReadReport(nowMs)) tracker.onReport(engine.report(nowMs), nowMs)
+        if (tracker.shouldReadReport(nowMs)) readReport(tracker, engine, nowMs)
         val runs = engine.currentRuns.groupBy { it.model }
         return EngineSnapshot(
             tracker = tracker,
@@ -57,11 +59,26 @@
         )
     }
 
+    private fun readReport(tracker: EngineTracker, engine: ReplayedEngine, nowMs: Long) {
+        val previousLoad = tracker.runningLoad
+        tracker.onReport(engine.report(nowMs), nowMs)
+        if (previousLoad == null || tracker.runningLoad != null || previousLoad.concurrentStoreLoads == 0) return
+        val coldLoadMs = spec.models.getValue(previousLoad.model).coldLoadMs
+        concurrency.onLoadEnded(
+            previousLoad.concurrentStoreLoads,
+            nowMs - previousLoad.startedAtMs,
+            coldLoadMs,
+            nowMs,
+        )
+    }
+
     private fun send(planned: PlannedOrder, engines: List<ReplayedEngine>, nowMs: Long) {
         val tracker = planned.engine.tracker
         val order = planned.order
-        if (order is EngineOrder.LoadModel && order.source == WeightSource.STORE) limiter.onLoadStarted(nowMs)
-        val expected = tracker.onSent(order)
+        val isStoreLoad = order is EngineOrder.LoadModel && order.source == WeightSource.STORE
+        if (isStoreLoad) limiter.onLoadStarted(nowMs)
+        val concurrent = trackers.values.count { it.mayLoadFromStore(nowMs) } + 1
+        val expected = tracker.onSent(order, if (isStoreLoad) concurrent else 0)
         val answer = engines.single { it.id == tracker.incarnation.id }.order(expected, order, nowMs)
         tracker.onAnswer(answer, nowMs, nowMs + planned.durationMs)
     }
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
@@ -44,9 +44,17 @@
         engines: List<EngineSnapshot>,
         queued: List<QueuedDemand>,
         storeLoads: Int = 4,
+        concurrentStoreLoads: Int = 4,
         prefetch: Boolean = false,
     ) =
-        planner.plan(engines, queued, UsageHistory(), storeLoads, prefetch, nowMs = 10_000)
+        planner.plan(
+            engines,
+            queued,
+            UsageHistory(),
+            StoreLoadAllowance(starts = storeLoads, concurrent = concurrentStoreLoads),
+            prefetch,
+            nowMs = 10_000,
+        )
 
     test("a requested model is loaded on the engine that has a copy") {
         val orders =
@@ -100,6 +108,77 @@
         plan(listOf(engine("a", emptySet())), emptyList(), storeLoads = 0, prefetch = true).shouldBeEmpty()
     }
 
+    test("a load from the store beyond those that may be under way waits, and no model is evicted for it") {
+        val loading = (1..2).map { engine("loading-$it", emptySet()) }
+        loading.forEachIndexed { index, snapshot ->
+            snapshot.tracker.onSent(EngineOrder.LoadModel("m${index + 1}", WeightSource.STORE))
+        }
+        val full = engine("full", setOf("m7", "m8"))
+        plan(loading + full, listOf(demand("m5")), concurrentStoreLoads = 2).shouldBeEmpty()
+        full.tracker.pendingModel shouldBe null
+        plan(loading + full, listOf(demand("m5")), concurrentStoreLoads = 3) shouldHaveSize 1
+    }
+
+    test("a load from the store whose engine makes room counts as under way") {
+        val engines = listOf(engine("a", setOf("m7", "m8")), engine("b", setOf("m1", "m2")))
+        val first = plan(engines, listOf(demand("m5")), concurrentStoreLoads = 1)
+        first.single().order shouldBe EngineOrder.UnloadModel("m7", waitsForRuns = false)
+        plan(engines, listOf(demand("m5"), demand("m6")), concurrentStoreLoads = 1)
+            .none { it.engine.tracker.incarnation.id == "b" } shouldBe true
+    }
+
+    test("while the store is occupied, copies on disks are still loaded") {
+        val loading = engine("loading", emptySet())
+        loading.tracker.onSent(EngineOrder.LoadModel("m1", WeightSource.STORE))
+        val withCopy = engine("copy", emptySet(), onDisk = setOf("m6"))
+        val orders = plan(listOf(loading, withCopy), listOf(demand("m5"), demand("m6")), concurrentStoreLoads = 1)
+        orders.single().order shouldBe EngineOrder.LoadModel("m6", WeightSource.DISK)
+    }
+
+    test("of the models that wait for the store, the one whose requests have waited most together is loaded first") {
+        val waiting = listOf(
+            QueuedDemand("m4", null, count = 1, urgency = 1, waitedMs = 900),
+            QueuedDemand("m5", null, count = 2, urgency = 1, waitedMs = 400),
+            QueuedDemand("m5", "a1", count = 2, urgency = 1, waitedMs = 300),
+            QueuedDemand("m6", null, count = 9, urgency = 2, waitedMs = 900),
+        )
+        val orders = plan(List(3) { engine("e$it", emptySet()) }, waiting, concurrentStoreLoads = 1)
+        orders.single().order shouldBe EngineOrder.LoadModel("m5", WeightSource.STORE)
+    }
+
+    test("a load from the store does not take the engine with the only copy of a requested model") {
+        val history = UsageHistory()
+        listOf("m1", "m2", "m3", "m4").forEach { history.recordUse(it, 4, 9_000) }
+        val engines = listOf(engine("only-copies", setOf("m1", "m2")), engine("copied", setOf("m3", "m4"))) +
+            engine("copies", emptySet(), onDisk = setOf("m3", "m4"), runs = mapOf("m9" to 2_000))
+        val order = planner.plan(
+            engines,
+            listOf(demand("m5")),
+            history,
+            StoreLoadAllowance(starts = 1, concurrent = 1),
+            prefetch = false,
+            nowMs = 10_000,
+        ).single()
+        order.engine.tracker.incarnation.id shouldBe "copied"
+    }
+
+    test("a pending load that can't go on is given up, and its model is loaded elsewhere") {
+        val stuck = engine("stuck", setOf("m7", "m8"))
+        stuck.tracker.pendingLoad = PendingLoad("m5", readyAtMs = 6_000)
+        val orders = plan(listOf(stuck, engine("b", emptySet())), listOf(demand("m5"), demand("m7"), demand("m8")))
+        stuck.tracker.pendingModel shouldBe null
+        orders.single().engine.tracker.incarnation.id shouldBe "b"
+    }
+
+    test("the last load that may be under way is expected to run at full speed") {
+        val loading = (1..3).map { engine("loading-$it", emptySet()) }
+        loading.forEachIndexed { index, snapshot ->
+            snapshot.tracker.onSent(EngineOrder.LoadModel("m${index + 1}", WeightSource.STORE))
+        }
+        val engines = loading + engine("idle", emptySet())
+        plan(engines, listOf(demand("m5")), concurrentStoreLoads = 4).single().durationMs shouldBe 6_000
+    }
+
     test("a load that is outstanding or pending is not planned on another engine") {
         val loading = engine("a", emptySet())
         loading.tracker.onSent(EngineOrder.LoadModel("m5", WeightSource.STORE))
