--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -21,7 +21,9 @@
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.EngineHoldings
+import io.daisybend.serving.endpoint.copies
 import io.daisybend.serving.rates.EndpointRateLimiter
+import io.daisybend.serving.residency.ColdDemand
 import io.daisybend.serving.residency.EngineOrder
 import io.daisybend.serving.residency.EngineSnapshot
 import io.daisybend.serving.residency.EngineTracker
@@ -91,6 +93,8 @@
     private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
     private val monitor = ResidencyMonitor(log, metrics)
     private val storeConcurrency = StoreConcurrency()
+    private val coldDemand = ColdDemand()
+    private var modelsWithCopy: Set<String> = emptySet()
     private var knownEngines: Set<String> = emptySet()
     private var endpointsChangedAtMs = 0L
     private var activeEpoch: Long? = null
@@ -232,7 +236,9 @@
     private fun reconcile(scope: CoroutineScope, epoch: Long) {
         val now = steadyMs()
         val siteConfiguration = configuration()?.configuration ?: return
+        modelsWithCopy = modelsWithCopy()
         recordUsage(now)
+        coldDemand.retain(now, ::isCold)
         val uses = fleet.allUses()
         val queuedDemand = fleet.allQueuedDemand()
         siteConfiguration.services.values.forEach { service ->
@@ -243,7 +249,8 @@
                 starts = storeLoadLimiter.availableLoads(now, engineSpec.loadsPerSecond),
                 concurrent = storeConcurrency.limit,
             )
-            val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand)
+            val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand) +
+                coldDemand.queuedDemand(now).filter { it.model in engineSpec.models }
             val planner = ResidencyPlanner(engineSpec)
             val prefetch = now - endpointsChangedAtMs >= PREFETCH_DELAY_MS
             val orders = planner.plan(engines, serviceDemand, usageHistory, storeLoads, prefetch, now)
@@ -355,6 +362,15 @@
         }
     }
 
+    private fun modelsWithCopy(): Set<String> {
+        val listed = table.all().filter { !it.entry.isDraining }.flatMapTo(HashSet()) { it.copies() }
+        trackers.values.forEach { listed += it.reservedModels() + setOfNotNull(it.pendingModel) }
+        return listed
+    }
+
+    /** Whether [key] names a model that no engine holds, loads or has a copy of. */
+    private fun isCold(key: String) = '/' !in key && key !in modelsWithCopy
+
     /** Returns the loads from the store under way, or -1 while an engine executes an order that is not known. */
     private fun concurrentStoreLoads(now: Long): Int =
         if (trackers.values.any { it.hasUnknownOrder }) -1 else trackers.values.count { it.mayLoadFromStore(now) }
@@ -365,7 +381,9 @@
             counts.forEach { (key, count) ->
                 // A count that is not known yet may contain old requests; only the last one is certainly recent.
                 val added = knownCounts.put(key, count)?.let { count - it } ?: 1
-                if (added > 0) usageHistory.recordUse(key, added, now)
+                if (added <= 0) return@forEach
+                usageHistory.recordUse(key, added, now)
+                if (isCold(key)) coldDemand.recordRequests(key, added, now)
             }
         }
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
@@ -145,3 +145,10 @@
     val held = holdings?.models?.get(demand.model) ?: return false
     return demand.adapter == null || demand.adapter in held.adapters
 }
+
+/** Returns the models that the endpoint holds or has a copy of, by the list and by the announcements. */
+public fun Endpoint.copies(): Set<String> = entry.holdings?.copies().orEmpty() + holdings?.copies().orEmpty()
+
+/** Returns whether the endpoint holds [model] or has a copy of it, by the list or by an announcement. */
+public fun Endpoint.hasCopy(model: String): Boolean =
+    entry.holdings?.hasCopy(model) == true || holdings?.hasCopy(model) == true
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
@@ -15,6 +15,7 @@
     private val history = UsageHistory()
     private val limiter = StoreLoadLimiter(windowMs = 5_000)
     private val concurrency = StoreConcurrency()
+    private val coldDemand = ColdDemand()
 
     override fun order(
         engines: List<ReplayedEngine>,
@@ -22,6 +23,9 @@
         arrived: List<WaitingRequest>,
         nowMs: Long,
     ) {
+        val isCold = { model: String -> engines.none { model in it.report(nowMs).copies() } }
+        arrived.filter { isCold(it.model) }.forEach { coldDemand.recordRequests(it.model, 1, nowMs) }
+        coldDemand.retain(nowMs, isCold)
         arrived.flatMap { setOf(it.model, it.key) }.groupingBy { it }.eachCount().forEach { (key, count) ->
             history.recordUse(key, count, nowMs)
         }
@@ -32,7 +36,8 @@
         }
         val allowed = if (isStoreUnavailable) 0 else limiter.availableLoads(nowMs, spec.loadsPerSecond)
         val storeLoads = StoreLoadAllowance(allowed, concurrency.limit)
-        planner.plan(planned, queued, history, storeLoads, prefetch = true, nowMs = nowMs).forEach {
+        val demand = queued + coldDemand.queuedDemand(nowMs)
+        planner.plan(planned, demand, history, storeLoads, prefetch = true, nowMs = nowMs).forEach {
             send(it, engines, nowMs)
         }
     }
