--- a/entry/src/test/kotlin/io/daisybend/entry/http/MessageHeadTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/http/MessageHeadTest.kt
@@ -6,12 +6,24 @@
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import java.io.IOException
 import kotlin.random.Random
 
 internal fun sourceOf(text: String) = ByteSource(ByteReadChannel(text.toByteArray(Charsets.ISO_8859_1)))
 
+/** A connection that is reset after [text] has arrived. */
+private suspend fun resetSourceOf(text: String): ByteSource {
+    val channel = ByteChannel()
+    channel.writeFully(text.toByteArray(Charsets.ISO_8859_1))
+    channel.flush()
+    val source = ByteSource(channel)
+    while (text.isNotEmpty() && !source.hasPendingInput) delay(1)
+    channel.cancel(IOException("reset by peer"))
+    return source
+}
+
 private suspend fun parseRequest(text: String, maxBytes: Int = 4_096): RequestHead? =
     sourceOf(text).readHeadLines(maxBytes)?.let(::parseRequestHead)
 
@@ -81,6 +93,24 @@
         shouldThrow<MalformedMessageException> { parseResponseHead(listOf("HTTP/1.1 abc"), "GET") }
     }
 
+    test("a head that is cut at any byte is no head, with an orderly end or a reset") {
+        val heads = listOf(
+            "HTTP/1.1 200 OK\r\nX-Daisybend-Response-Seal: 3e1b.07\r\nContent-Length: 1234\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nX-Daisybend-Response-Seal: 3e1b.07\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST /a/ HTTP/1.1\r\nHost: x.example\r\nContent-Length: 1234\r\n\r\n",
+        )
+        for (head in heads) {
+            sourceOf(head).readHeadLines(4_096)!!.size shouldBe 3
+            sourceOf("").readHeadLines(4_096) shouldBe null
+            for (cutBytes in 1 until head.length) {
+                shouldThrow<ConnectionBrokenException> { sourceOf(head.take(cutBytes)).readHeadLines(4_096) }
+            }
+            for (cutBytes in head.indices) {
+                shouldThrow<ConnectionBrokenException> { resetSourceOf(head.take(cutBytes)).readHeadLines(4_096) }
+            }
+        }
+    }
+
     test("20,000 corrupted requests each yield a request, a typed problem or a broken connection") {
         val random = Random(11)
         val sample = "POST /a/ HTTP/1.1\r\nHost: x.example\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n" +
@@ -121,6 +151,14 @@
         shouldThrow<ConnectionBrokenException> { bodyOf("5\r\nhello\r\n", BodyFraming.Chunked) }
     }
 
+    test("a body in chunks that is cut at any byte, also of its sizes and trailers, fails as a broken connection") {
+        val body = "1a\r\n${"x".repeat(0x1a)}\r\n0;last\r\nX-Checksum: 1\r\n\r\n"
+        bodyOf(body, BodyFraming.Chunked).length shouldBe 0x1a
+        for (cutBytes in body.indices) {
+            shouldThrow<ConnectionBrokenException> { bodyOf(body.take(cutBytes), BodyFraming.Chunked) }
+        }
+    }
+
     test("malformed chunks are rejected") {
         listOf("5\r\nhelloX\r\n", "-1\r\n", "fffffffff\r\n", "5 5\r\n", "\r\n").forEach {
             shouldThrow<MalformedMessageException> { bodyOf(it, BodyFraming.Chunked) }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -75,6 +75,12 @@
     ENDLESS_BODY,
     ENDLESS_EVENT,
     LARGE_RESPONSE,
+
+    /** Writes [FakeEndpoint.rawAnswer], and then ends the connection. */
+    RAW,
+
+    /** Ends the connection in the middle of a stream, and handles the rest as [RAW]. */
+    RAW_REST,
 }
 
 internal class FakeEndpoint(val id: String) {
@@ -118,6 +124,18 @@
     @Volatile
     var shedFor: String? = null
 
+    /** The bytes that [Behaviour.RAW] writes for the attempt with an id, in ISO 8859-1. */
+    @Volatile
+    var rawAnswer: (String) -> String = { "" }
+
+    /** Whether [Behaviour.RAW] resets the connection instead of closing it in order. */
+    @Volatile
+    var rawEndsWithReset = false
+
+    /** Whether responses keep their connections open. */
+    @Volatile
+    var keepsConnections = true
+
     /** Requests that were turned away. */
     val turnedAway = CopyOnWriteArrayList<FakeServerCall>()
 
@@ -176,6 +194,13 @@
                 call.source.fill()
             }
             Behaviour.DRIP -> sendHalf(call, chunked) { drip(call) }
+            Behaviour.RAW -> writeRaw(call)
+            Behaviour.RAW_REST ->
+                if (call.header("Last-Event-Id") == null) {
+                    sendHalf(call, chunked) { call.closeConnection() }
+                } else {
+                    writeRaw(call)
+                }
             Behaviour.RESET_UNFRAMED -> sendHalf(call, emptyList()) { call.resetConnection() }
             else -> serve(call, behaviour)
         }
@@ -239,6 +264,14 @@
         if (isUnframed) call.closeConnection() else call.sink.writeLastChunk()
     }
 
+    private suspend fun writeRaw(call: FakeServerCall) {
+        val answer = rawAnswer(call.header("X-Daisybend-Attempt-Id")!!)
+        call.sink.writeAll(answer.toByteArray(Charsets.ISO_8859_1))
+        // A reset discards what has not arrived.
+        delay(RAW_MS)
+        if (rawEndsWithReset) call.resetConnection() else call.closeConnection()
+    }
+
     private suspend fun drip(call: FakeServerCall) {
         while (true) {
             call.sink.writeAll(encodeChunk(byte))
@@ -257,6 +290,7 @@
         Header("X-Daisybend-Response-Seal", "seal"),
         namedLimit?.let { Header("Server-Limit", it) },
         leaving.takeIf { isLeaving },
+        Header("Connection", "close").takeIf { !keepsConnections },
     )
 
     companion object {
@@ -268,6 +302,7 @@
         private const val EXTRA_DELAY_MS = 30L
 
         private const val DRIP_MS = 250L
+        private const val RAW_MS = 5L
         private const val AROUND_DEADLINE_MS = 4L
         private val byte = byteArrayOf(':'.code.toByte())
         private val leaving = Header("Server-Leaving", "1")
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -38,6 +38,9 @@
     val sink: ByteWriteChannel,
     val source: ByteSource,
     private val socket: Socket,
+    private val wakeSelector: () -> Unit,
+    /** Whether the call is the first one on its connection. */
+    val isFirst: Boolean,
 ) {
     /** Writes a whole response. */
     suspend fun respond(status: Int, body: ByteArray = ByteArray(0), headers: List<Header> = emptyList()) {
@@ -53,6 +56,8 @@
         channel.setOption(StandardSocketOptions.SO_LINGER, 0)
         // Closing the socket would end its output in order first.
         channel.close()
+        // The system sends the reset once the selector has let go of the channel, which may take it half a second.
+        wakeSelector()
     }
 
     fun header(name: String): String? = head.headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
@@ -88,6 +93,8 @@
         }
     }
 
+    private val wakeSelector: () -> Unit = { acceptsConnections(port) }
+
     private fun acceptsConnections(port: Int) = runCatching { java.net.Socket("127.0.0.1", port).close() }.isSuccess
 
     /** Accepts no more connections; the open ones stay. */
@@ -113,11 +120,13 @@
         connections.add(socket)
         val source = ByteSource(socket.openReadChannel())
         val sink = socket.openWriteChannel()
+        var isFirst = true
         try {
             while (true) {
                 val head = parseRequestHead(source.readHeadLines(MAX_HEAD_BYTES) ?: return)
                 val body = BodyReader(source, head.framing).readAll(MAX_BODY_BYTES)
-                handle(FakeServerCall(head, body, sink, source, socket))
+                handle(FakeServerCall(head, body, sink, source, socket, wakeSelector, isFirst))
+                isFirst = false
             }
         } catch (expectedEnd: IOException) {
             return
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -74,6 +74,9 @@
         sink.writeAll(encodeHead("$method $path HTTP/1.1", headers), body.encodeToByteArray())
     }
 
+    /** Sends [bytes], in ISO 8859-1, as they are. */
+    suspend fun sendRaw(bytes: String) = sink.writeAll(bytes.toByteArray(Charsets.ISO_8859_1))
+
     suspend fun read(): Response {
         val head = parseResponseHead(source.readHeadLines(8_192) ?: throw IOException("closed"), "GET")
         return Response(head, BodyReader(source, head.framing).readAll(100_000).decodeToString())
