Pass on no empty success whose end nothing marks

What callers saw: a 200 with a length of 0, framed as whole, on safe and unsafe routes (MIXED), when an engine stopped after a whole head with neither a length nor chunks and its process lived on.

Cause: the end of such an answer is the end of its connection, so an empty body and a missing one look alike.

Evidence: "a success with neither a length nor chunks that ends after its head ..." of CutHeadTest fails before (200 instead of 502).

Ruled out: the check whether the engine has ended; this one has not. Weighed: an engine that means an empty body that way gets a 502 for its callers; it can send a length of 0 or 204. Failures are passed on as before.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -78,8 +78,8 @@
             null
         }
         if (body == null) return onBroken(endpoint, response, "an answer that broke off", connectionEnded = false)
-        if (endsWithEndpoint(endpoint, response)) {
-            return onBroken(endpoint, response, "an answer that ended with its endpoint", connectionEnded = true)
+        problemAtEnd(endpoint, response, body)?.let {
+            return onBroken(endpoint, response, it, connectionEnded = true)
         }
         if (response.head.status in SUCCESS) endpointPool.outcomes.recordCompleteAnswer(admitted, tracked)
         response.exchange.finish()
@@ -189,6 +189,18 @@
         else -> null
     }
 
+    private suspend fun problemAtEnd(
+        endpoint: Endpoint,
+        response: SendStart.HeadReceived,
+        body: ByteArray,
+    ): String? = when {
+        // Without a length or chunks, an engine that stops after the head looks like the end of an empty body.
+        response.head.framing == BodyFraming.UntilClose && response.head.status in SUCCESS && body.isEmpty() ->
+            "an answer that ended before its body"
+        endsWithEndpoint(endpoint, response) -> "an answer that ended with its endpoint"
+        else -> null
+    }
+
     private suspend fun endsWithEndpoint(endpoint: Endpoint, response: SendStart.HeadReceived): Boolean =
         response.head.framing == BodyFraming.UntilClose && endDetector.hasEnded(endpoint)
 
--- a/entry/src/test/kotlin/io/daisybend/entry/CutHeadTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/CutHeadTest.kt
@@ -266,6 +266,27 @@
         }
     }
 
+    // A 200 with a length of 0 was passed on for an answer whose body had not begun.
+    test("a success with neither a length nor chunks that ends after its head is not passed on as an empty answer") {
+        withSite(LARGE_BUDGET) {
+            configure()
+            val caller = connect()
+            forEachEnd { endsWithReset, isKept ->
+                withClue("reset: $endsWithReset, kept: $isKept") {
+                    setRawAnswer(endsWithReset) { headOf(it, framing = "") }
+                    callForNoAnswer(caller, "/once/x", isKept)
+                    warmUp(caller, isKept)
+                    callBesideRawAnswer(caller)
+                    warmUp(caller, isKept)
+                    endpoints[0].behaviours.add(Behaviour.RAW)
+                    while (endpoints[0].behaviours.isNotEmpty()) {
+                        caller.call("POST", "/stream/x", "prompt").body shouldBe allEvents
+                    }
+                }
+            }
+        }
+    }
+
     test("a caller's request that is cut at any byte does not run") {
         withSite {
             configure()
