Reject a response head that holds the status line of another one

What callers saw: the status of a head that an engine had cut within a line, with the headers and the body of the head that followed on the connection.

Cause: a reason phrase and header values may hold any text, also the next status line.

Evidence: "a head that is cut and followed by another one ..." of CutHeadTest fails before, first with a cut after 13 bytes (200 instead of 502).

Ruled out: cuts at the end of a line, in a name, in the length and in the id of the attempt; these were rejected or belonged to no request before. Weighed: an engine that quotes a status line in a header value can't be served; no published header does.

--- a/entry/src/main/kotlin/io/daisybend/entry/http/MessageHead.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/MessageHead.kt
@@ -120,6 +120,8 @@
 
 /** Parses the head of a response to a request with [method] from its [lines]; throws [MalformedMessageException]. */
 internal fun parseResponseHead(lines: List<String>, method: String): ResponseHead {
+    // A head that was cut within a line would lend its status to the one that follows it.
+    requireWellFormed(lines.none(embeddedStatusLine::containsMatchIn))
     val parts = lines.first().split(' ', limit = 3)
     val status = parts.getOrNull(1)?.takeIf { it.length == 3 }?.toIntOrNull()
     requireWellFormed(parts[0] == "HTTP/1.1" && status != null && status in 100..599)
@@ -195,6 +197,7 @@
     if (!condition) throw MalformedMessageException(MalformedMessage.BAD_REQUEST)
 }
 
+private val embeddedStatusLine = Regex(".HTTP/1\\.1 [1-5][0-9]{2}")
 private const val TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~"
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/entry/src/test/kotlin/io/daisybend/entry/CutHeadTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/CutHeadTest.kt
@@ -287,6 +287,28 @@
         }
     }
 
+    // The status of the head that was cut came with the headers and the body of the one that followed it.
+    test("a head that is cut and followed by another one is not passed on with the first one's status") {
+        withSite(LARGE_BUDGET) {
+            configure()
+            val caller = connect()
+            val error = "HTTP/1.1 500 Internal Server Error"
+            for (cutBytes in 1..headOf("id-1000").length) {
+                withClue("200 cut after $cutBytes bytes, followed by 500") {
+                    setRawAnswer { headOf(it).take(cutBytes) + headOf(it, "Content-Length: 0\r\n", error) }
+                    callForNoAnswer(caller, "/once/x", isKept = cutBytes % 2 == 0)
+                }
+                withClue("503 cut after $cutBytes bytes, followed by 200") {
+                    setRawAnswer {
+                        headOf(it, statusLine = "HTTP/1.1 503 X").take(cutBytes) +
+                            headOf(it, "Content-Length: 5\r\n") + "hello"
+                    }
+                    callForNoAnswer(caller, "/once/x", isKept = cutBytes % 2 == 0)
+                }
+            }
+        }
+    }
+
     test("a caller's request that is cut at any byte does not run") {
         withSite {
             configure()
