Record the state of engines every two seconds instead of in each planning round

Planning rounds come up to twenty times a second; the gauges and the line need it every two seconds.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/ResidencyMonitor.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/ResidencyMonitor.kt
@@ -44,7 +44,7 @@
     private class State(val storeLoads: Int, val waiting: Map<WaitState, Int>)
 
     private val stateByService = ConcurrentHashMap<String, State>()
-    private val lastLineAtMs = HashMap<String, Long>()
+    private val recordedAtMs = HashMap<String, Long>()
 
     init {
         metrics.addGauge("daisybend_store_loads_under_way", "Loads from the weight store that engines execute") {
@@ -63,7 +63,7 @@
     /** Shows zeros while this VM does not hold the order duty. */
     fun reset() = stateByService.clear()
 
-    /** Records the state after a planning round at [nowMs] that was allowed [storeLoadAllowance]. */
+    /** Records the state after a planning round at [nowMs] that was allowed [storeLoadAllowance], if it is due. */
     fun onPlanned(
         service: Service,
         engines: List<EngineSnapshot>,
@@ -71,15 +71,15 @@
         storeLoadAllowance: StoreLoadAllowance,
         nowMs: Long,
     ) {
+        if (nowMs - (recordedAtMs[service.name] ?: Long.MIN_VALUE / 2) < RECORD_INTERVAL_MS) return
+        recordedAtMs[service.name] = nowMs
         val usable = engines.filter { it.isUsable }.map { it.tracker }
         val storeLoads = storeLoadsOf(engines.map { it.tracker })
         val waitStates = queued.associateWith { waitStateOf(it, usable) }
         val waiting = waitStates.entries.groupBy({ it.value }, { it.key.model to it.key.adapter })
             .mapValues { (_, keys) -> keys.distinct().size }
         stateByService[service.name] = State(storeLoads, waiting)
-        val isIdle = queued.isEmpty() && storeLoads == 0
-        if (isIdle || nowMs - (lastLineAtMs[service.name] ?: Long.MIN_VALUE / 2) < LINE_INTERVAL_MS) return
-        lastLineAtMs[service.name] = nowMs
+        if (queued.isEmpty() && storeLoads == 0) return
         val copies = usable.flatMapTo(HashSet()) { it.holdings.models.keys + it.holdings.onDisk + it.holdings.inMemory }
         log.write(
             "residency",
@@ -108,7 +108,8 @@
     private fun EngineTracker.isOverdue(nowMs: Long) = runningLoad?.let { nowMs > it.expectedAtMs } ?: false
 
     companion object {
-        private const val LINE_INTERVAL_MS = 2_000L
+        /** Interval between lines and updates of the gauges, in milliseconds: planning rounds come far more often. */
+        private const val RECORD_INTERVAL_MS = 2_000L
 
         /** Number of models named in a line. */
         private const val MAX_NAMES = 6
