Use the announcements of a VM only while it holds the duty, and keep forecasts of unlisted engines

A VM that had lost the duty during a load never heard of its end, and expected it ever later. A VM whose list lags behind the one of the holder removed the forecast of a load on an engine that it did not know yet; it is kept now and counts once the engine is listed (PeerTableTest). The first has no test: Fleet has no stand-in for the lease.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -337,7 +337,7 @@
             val now = steadyMs()
             connectionPool.closeExpired()
             peers.removeExpired(now)
-            loadForecast.removeEnded(now)
+            loadForecast.removeOverdue(now)
             val contact = peers.contact(now)
             teamRateLimiter.setContact(contact, now)
             endpointRateLimiter.setContact(contact, now)
--- a/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
@@ -59,8 +59,11 @@
         peers.aliveReports(steadyMs()).associate { "${it.vm}@${it.startedAtMs}" to it.requests } +
             (ownVm to endpointPool.demand.requestCounts(peers.repeatWindowMs))
 
-    override fun loadedInMs(model: String): Long? =
-        listOfNotNull(orderController.loadedInMs(model), loadForecast.loadedInMs(model, steadyMs())).minOrNull()
+    override fun loadedInMs(model: String): Long? {
+        // A former holder of the duty does not hear the ends of the loads that it announced.
+        val ownMs = leaseManager.currentEpoch()?.let { orderController.loadedInMs(model) }
+        return listOfNotNull(ownMs, loadForecast.loadedInMs(model, steadyMs())).minOrNull()
+    }
 
     override fun isDutyHeld(): Boolean =
         leaseManager.currentEpoch() != null || peers.aliveReports(steadyMs()).any { it.holdsDuty }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
@@ -23,19 +23,15 @@
 
     /** Returns the time until the first load of [model] ends, in milliseconds, or null if no load is known. */
     fun loadedInMs(model: String, nowMs: Long): Long? = loadsByEngine.values
-        .filter { it.model == model && isExpected(it, nowMs) }
+        .filter { it.model == model && !isOverdue(it, nowMs) && isListed(it.engine) }
         .minOfOrNull { (it.endsAtMs - nowMs).coerceAtLeast(0) }
 
-    /**
-     * Removes loads whose end was not announced in time, because the report was lost or the holder has ended, and those
-     * of engines that are gone.
-     */
-    fun removeEnded(nowMs: Long) {
-        loadsByEngine.values.removeIf { !isExpected(it, nowMs) }
+    /** Removes loads whose end was not announced in time, because the report was lost or the holder has ended. */
+    fun removeOverdue(nowMs: Long) {
+        loadsByEngine.values.removeIf { isOverdue(it, nowMs) }
     }
 
-    private fun isExpected(load: ExpectedLoad, nowMs: Long) =
-        nowMs < load.endsAtMs + OVERDUE_MS && isListed(load.engine)
+    private fun isOverdue(load: ExpectedLoad, nowMs: Long) = nowMs >= load.endsAtMs + OVERDUE_MS
 
     private companion object {
         /** How long a load may take beyond its expected end, in milliseconds: loads slow each other down. */
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
@@ -94,5 +94,9 @@
         forecast.loadedInMs("model-1", 2_000) shouldBe 59_000
         listed.clear()
         forecast.loadedInMs("model-1", 2_000) shouldBe null
+        // The list of a VM may lag behind the one of the holder.
+        forecast.removeOverdue(2_000)
+        listed.add("engine-1")
+        forecast.loadedInMs("model-1", 3_000) shouldBe 58_000
     }
 })
