--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -89,7 +89,7 @@
     private val changeCount = AtomicLong()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val promptCache = PromptCacheIndex()
-    private val loadForecast = ModelLoadForecast(table, fleet)
+    private val modelLoads = ModelLoadForecast(table, fleet)
 
     /** Requests of this VM in progress at endpoints. */
     val exchanges = ExchangeTracker(table, promptCache, steadyMs)
@@ -187,7 +187,7 @@
         val model = admitted.caller.demand?.model ?: return Step.Finish(noEndpoint(admitted))
         val waitMs = remainingWaitMs(admitted, model, waitStartedAtMs)
         if (waitMs > 0) return Step.Wait(waitMs)
-        val expectedMs = loadForecast.loadedInMs(admitted.service, model)
+        val expectedMs = modelLoads.loadedInMs(admitted.service, model)
         val reason = "$model is held nowhere" + (expectedMs?.let { ", expected in $it ms" } ?: ", no load is announced")
         val retryAfterMs = expectedMs ?: MODEL_NOT_HELD_RETRY_AFTER_MS
         return Step.Finish(sendDeadlines.refusalToWait(admitted, reason, expectedMs ?: 0, retryAfterMs))
@@ -249,7 +249,7 @@
             is EndpointChoice.Paused -> choice.leftMs
             EndpointChoice.NoEndpoint -> NO_ENDPOINT_RETRY_AFTER_MS
             EndpointChoice.NotHeld ->
-                admitted.caller.demand?.let { loadForecast.loadedInMs(admitted.service, it.model) }
+                admitted.caller.demand?.let { modelLoads.loadedInMs(admitted.service, it.model) }
                     ?: MODEL_NOT_HELD_RETRY_AFTER_MS
         }
 
@@ -329,7 +329,7 @@
     private fun remainingWaitMs(admitted: AdmittedRequest, model: String, waitStartedAtMs: Long): Long {
         val now = steadyMs()
         val remainingMs = sendDeadlines.latestSendAtMs(admitted) - now
-        val expectedMs = loadForecast.loadedInMs(admitted.service, model)
+        val expectedMs = modelLoads.loadedInMs(admitted.service, model)
         if (expectedMs != null) return if (expectedMs < remainingMs) remainingMs else 0
         return if (fleet.isDutyHeld()) remainingMs else minOf(remainingMs, waitStartedAtMs + NO_HOLDER_WAIT_MS - now)
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -149,6 +149,8 @@
         lastEpoch = current
         trackers.clear()
         reportRequestedAtMs.clear()
+        lastRequestCounts.clear()
+        coldDemand.clear()
         announcements.clear()
         storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
         if (current != FIRST_EPOCH) storeLoadLimiter.assumeWindowUsed(steadyMs())
@@ -245,9 +247,11 @@
             val engineSpec = service.engine ?: return@forEach
             val engines = table.ofService(service.name).mapNotNull { toEngineSnapshot(it, engineSpec, uses, now) }
             engines.forEach { requestReportIfNeeded(scope, it.tracker, now) }
+            val ownTrackers = engines.mapTo(HashSet()) { it.tracker }
+            val loadsOfOthers = trackers.values.count { it !in ownTrackers && it.mayLoadFromStore(now) }
             val storeLoads = StoreLoadAllowance(
                 starts = storeLoadLimiter.availableLoads(now, engineSpec.loadsPerSecond),
-                concurrent = storeConcurrency.limit,
+                concurrent = (storeConcurrency.limit - loadsOfOthers).coerceAtLeast(0),
             )
             val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand) +
                 coldDemand.queuedDemand(now).filter { it.model in engineSpec.models }
@@ -364,11 +368,12 @@
 
     private fun modelsWithCopy(): Set<String> {
         val listed = table.all().filter { !it.entry.isDraining }.flatMapTo(HashSet()) { it.copies() }
-        trackers.values.forEach { listed += it.reservedModels() + setOfNotNull(it.pendingModel) }
+        trackers.filterKeys { table.find(it)?.entry?.isDraining == false }.values
+            .forEach { listed += it.reservedModels() + setOfNotNull(it.pendingModel) }
         return listed
     }
 
-    /** Whether [key] names a model that no engine holds, loads or has a copy of. */
+    /** Whether [key] names a model that no engine that stays holds, loads or has a copy of. */
     private fun isCold(key: String) = '/' !in key && key !in modelsWithCopy
 
     /** Returns the loads from the store under way, or -1 while an engine executes an order that is not known. */
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ColdDemand.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ColdDemand.kt
@@ -17,6 +17,9 @@
         entry.lastAtMs = nowMs
     }
 
+    /** Forgets all requests. */
+    public fun clear(): Unit = entries.clear()
+
     /** Forgets the models that [isCold] denies, and those that were not requested lately at [nowMs]. */
     public fun retain(nowMs: Long, isCold: (String) -> Boolean) {
         entries.entries.removeIf { (model, entry) -> nowMs - entry.lastAtMs > MEMORY_MS || !isCold(model) }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -135,10 +135,10 @@
 
     /** Returns [queued] by urgency, and then by the number of requests for a model and how long they have waited. */
     private fun inOrderOfNeed(queued: List<QueuedDemand>): List<QueuedDemand> {
-        val waitedMs = queued.groupingBy { it.model to it.urgency }
+        val totalWaitMs = queued.groupingBy { it.model to it.urgency }
             .fold(0L) { sum, entry -> sum + entry.count * entry.waitedMs }
         return queued.sortedWith(
-            compareBy<QueuedDemand> { it.urgency }.thenByDescending { waitedMs.getValue(it.model to it.urgency) },
+            compareBy<QueuedDemand> { it.urgency }.thenByDescending { totalWaitMs.getValue(it.model to it.urgency) },
         )
     }
 
@@ -161,11 +161,7 @@
         private val storeTurns: StoreTurns
 
         init {
-            // A pending load that can't go on keeps its model from being loaded elsewhere.
-            allEngines.map { it.tracker }.forEach { tracker ->
-                val load = tracker.pendingLoad ?: return@forEach
-                if (load.model !in spec.models || load.isOverdue(nowMs)) tracker.pendingLoad = null
-            }
+            allEngines.forEach { dropStalePendingLoad(it.tracker, spec, nowMs) }
             storeTurns = StoreTurns(storeLoads, allEngines, nowMs)
         }
 
@@ -277,11 +273,12 @@
             val option = loadOptionFor(engine, model, onlyCheapVictims = false)?.takeIf { it.isPossibleNow } ?: return
             val victim = option.victims.firstOrNull()
             if (victim != null) {
+                val pending = engine.tracker.pendingLoad?.takeIf { it.model == model.name }
                 val waitMs = option.victims.maxOf { remainingRunMs(engine, it) }.toLong()
                 val unloadsMs = option.victims.size * EngineTracker.UNLOAD_MS
-                val loadMs = loadMs(engine, model, option.source)
+                val readyAtMs = nowMs + waitMs + unloadsMs + loadMs(engine, model, option.source)
                 if (option.source == WeightSource.STORE) storeTurns.take(engine)
-                engine.tracker.pendingLoad = PendingLoad(model.name, nowMs + waitMs + unloadsMs + loadMs)
+                engine.tracker.pendingLoad = pending ?: PendingLoad(model.name, readyAtMs)
                 val hasRuns = (engine.runsByModel[victim] ?: 0) > 0
                 addOrder(
                     engine,
@@ -464,5 +461,11 @@
     }
 }
 
+/** Drops a pending load that is stuck, since it keeps its model from being loaded elsewhere. */
+private fun dropStalePendingLoad(tracker: EngineTracker, spec: EngineSpec, nowMs: Long) {
+    val load = tracker.pendingLoad ?: return
+    if (load.model !in spec.models || load.isOverdue(nowMs)) tracker.pendingLoad = null
+}
+
 /** Returns the key of the adapter in a [UsageHistory]. */
 public fun AdapterKey.historyKey(): String = "$model/$adapter"
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/StoreConcurrency.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/StoreConcurrency.kt
@@ -16,8 +16,10 @@
     public var limit: Int = INITIAL_LIMIT
         private set
 
+    private class SlowedLoad(val limit: Int, val endedAtMs: Long)
+
     /** What the last slowed load showed, until a second one confirms it: a single engine or report may be slow. */
-    private var unconfirmedLimit: Int? = null
+    private var unconfirmed: SlowedLoad? = null
     private var loweredAtMs: Long? = null
 
     /**
@@ -27,11 +29,12 @@
     public fun onLoadEnded(concurrent: Int, tookMs: Long, fullSpeedMs: Long, nowMs: Long) {
         if (fullSpeedMs < MIN_FULL_SPEED_MS) return
         val slowdown = (tookMs - REPORT_LAG_MS) / fullSpeedMs.toDouble()
+        unconfirmed = unconfirmed?.takeIf { nowMs - it.endedAtMs < fullSpeedMs * PROBE_PAUSE_LOADS }
         if (slowdown < SLOWED) onFullSpeed(concurrent, fullSpeedMs, nowMs) else onSlowed(concurrent, slowdown, nowMs)
     }
 
     private fun onFullSpeed(concurrent: Int, fullSpeedMs: Long, nowMs: Long) {
-        if (concurrent > (unconfirmedLimit ?: Int.MAX_VALUE)) unconfirmedLimit = null
+        unconfirmed = unconfirmed?.takeIf { it.limit >= concurrent }
         val mayProbe = loweredAtMs?.let { nowMs - it > fullSpeedMs * PROBE_PAUSE_LOADS } ?: true
         if (concurrent >= limit && mayProbe) limit = minOf(concurrent, limit) + 1
     }
@@ -39,11 +42,11 @@
     private fun onSlowed(concurrent: Int, slowdown: Double, nowMs: Long) {
         val shown = (concurrent / slowdown).roundToInt().coerceAtLeast(1)
         if (shown >= limit) return
-        val earlier = unconfirmedLimit
-        unconfirmedLimit = shown
+        val earlier = unconfirmed
+        unconfirmed = SlowedLoad(shown, nowMs)
         if (earlier == null) return
-        limit = minOf(limit, maxOf(earlier, shown))
-        unconfirmedLimit = null
+        limit = minOf(limit, maxOf(earlier.limit, shown))
+        unconfirmed = null
         loweredAtMs = nowMs
     }
 
@@ -60,7 +63,7 @@
         /** Duration relative to full speed from which a load counts as slowed by others. */
         const val SLOWED = 1.2
 
-        /** Time after which a lowered limit may rise again, in loads at full speed. */
+        /** Time for which a slowed load counts, and after which a lowered limit may rise, in loads at full speed. */
         const val PROBE_PAUSE_LOADS = 3
     }
 }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/StoreTurns.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/StoreTurns.kt
@@ -31,7 +31,7 @@
     /** Returns the expected duration of a load on [engine] that takes [coldLoadMs] by itself, in milliseconds. */
     fun expectedLoadMs(engine: EngineSnapshot, coldLoadMs: Long): Long {
         val others = if (engine.awaitsTurn()) taken - 1 else taken
-        return (coldLoadMs * maxOf(1.0, (others + 1.0) / allowance.concurrent)).toLong()
+        return (coldLoadMs * maxOf(1.0, (others + 1.0) / allowance.concurrent.coerceAtLeast(1))).toLong()
     }
 
     private fun EngineSnapshot.awaitsTurn() =
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ResidencyPlannerTest.kt
@@ -170,6 +170,21 @@
         orders.single().engine.tracker.incarnation.id shouldBe "b"
     }
 
+    test("a pending load whose evictions are refused again and again is not expected ever later") {
+        val full = engine("full", setOf("m7", "m8"))
+        plan(listOf(full), listOf(demand("m5")))
+        val readyAtMs = full.tracker.pendingLoad?.readyAtMs
+        planner.plan(
+            listOf(full),
+            listOf(demand("m5")),
+            UsageHistory(),
+            StoreLoadAllowance(starts = 4, concurrent = 4),
+            prefetch = false,
+            nowMs = 12_000,
+        ).single().order shouldBe EngineOrder.UnloadModel("m7", waitsForRuns = false)
+        full.tracker.pendingLoad?.readyAtMs shouldBe readyAtMs
+    }
+
     test("the last load that may be under way is expected to run at full speed") {
         val loading = (1..3).map { engine("loading-$it", emptySet()) }
         loading.forEachIndexed { index, snapshot ->
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/StoreConcurrencyTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/StoreConcurrencyTest.kt
@@ -60,6 +60,13 @@
         concurrency.limit shouldBe 2
     }
 
+    test("two slow loads far apart do not confirm each other") {
+        val concurrency = StoreConcurrency()
+        concurrency.onLoadEnded(concurrent = 1, tookMs = 60_000, fullSpeedMs = FULL_SPEED_MS, nowMs = 60_000)
+        concurrency.onLoadEnded(concurrent = 1, tookMs = 60_000, fullSpeedMs = FULL_SPEED_MS, nowMs = 160_000)
+        concurrency.limit shouldBe 4
+    }
+
     test("a limit that was lowered wrongly rises again") {
         val store = SimulatedStore(fullSpeedLoads = 4)
         repeat(2) {
