Keep the limits on loads from the store in one class, which the replay uses too

- StoreLoads joins the rate, the learned limit and the count of loads under way.
OrderController and the replayed policy had both written that out, and the log counted loads by a third rule.
The log and the gauge now count what the limit counts; they differ from before only for engines that execute an unknown order, and for loads that should long have ended.
- StoreLoadAllowance has a file of its own; StoreConcurrency is internal.
- One function says how long an overdue load is expected to take (remainingLoadMs), one property what an interim head is.
- LoadForecast no longer stores the engine twice; reconcile is split; two tests of cut heads share their beginning.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -178,7 +178,7 @@
         val head = parseResponseHead(headLines, request.head.method)
         val headers = readEndpointResponseHeaders(head.status, head.headers)
         guard.onHead(headers)
-        if (head.status < FIRST_FINAL_STATUS) return@repeat
+        if (head.isInterim) return@repeat
         val isUnnamedRefusal = headers.attemptId == null && headers.didNotRun
         val isOwn = headers.attemptId == request.attemptId || (isUnnamedRefusal && !wasKept)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
@@ -189,7 +189,6 @@
 }
 
 private val methodsWithoutBody = setOf("GET", "HEAD", "DELETE", "OPTIONS")
-private const val FIRST_FINAL_STATUS = 200
 private val SUCCESS = 200..299
 private const val MAX_RESPONSE_HEAD_BYTES = 32_768
 private const val MAX_UNRELATED_RESPONSES = 3
--- a/entry/src/main/kotlin/io/daisybend/entry/http/MessageHead.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/MessageHead.kt
@@ -49,7 +49,14 @@
     val keepAlive: Boolean,
     /** The peer's keep-alive timeout in milliseconds, or null if it states none. */
     val keepAliveMs: Long?,
-)
+) {
+    /** Whether the head of the response itself is still to come. */
+    val isInterim: Boolean get() = status < FIRST_FINAL_STATUS
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+    }
+}
 
 /** Reads the lines of a head of at most [maxBytes]; returns null if the connection ends before the first byte. */
 internal suspend fun ByteSource.readHeadLines(maxBytes: Int): List<String>? {
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -68,7 +68,7 @@
         repeat(MAX_INTERIM_HEADS + 1) {
             val headLines = connection.source.readHeadLines(MAX_HEAD_BYTES) ?: throw ConnectionBrokenException(null)
             val head = parseResponseHead(headLines, method)
-            if (head.status >= FIRST_FINAL_STATUS) return head
+            if (!head.isInterim) return head
         }
         throw MalformedMessageException(MalformedMessage.BAD_REQUEST)
     }
@@ -78,6 +78,5 @@
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_HEAD_BYTES = 16_384
         const val MAX_INTERIM_HEADS = 3
-        const val FIRST_FINAL_STATUS = 200
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/HoldingsAnnouncements.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/HoldingsAnnouncements.kt
@@ -5,6 +5,7 @@
 package io.daisybend.entry.orders
 
 import io.daisybend.entry.peers.HoldingsReport
+import io.daisybend.serving.residency.remainingLoadMs
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.math.abs
 
@@ -16,8 +17,7 @@
 
         fun isCurrent(nowMs: Long) = announcedAtMs >= nowMs - LIFETIME_MS || report.loading != null
 
-        /** An overdue load is expected to take as long again as it is overdue. */
-        fun loadedInMs(nowMs: Long) = abs(loadedAtMs - nowMs).coerceAtLeast(MIN_REMAINING_LOAD_MS)
+        fun loadedInMs(nowMs: Long) = remainingLoadMs(loadedAtMs, nowMs).coerceAtLeast(MIN_REMAINING_LOAD_MS)
     }
 
     private val byEngine = ConcurrentHashMap<String, Announcement>()
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -32,9 +32,7 @@
 import io.daisybend.serving.residency.QueuedDemand
 import io.daisybend.serving.residency.ResidencyPlanner
 import io.daisybend.serving.residency.RunningLoad
-import io.daisybend.serving.residency.StoreConcurrency
-import io.daisybend.serving.residency.StoreLoadAllowance
-import io.daisybend.serving.residency.StoreLoadLimiter
+import io.daisybend.serving.residency.StoreLoads
 import io.daisybend.serving.residency.UsageHistory
 import io.daisybend.serving.residency.WeightSource
 import io.daisybend.serving.site.EngineSpec
@@ -90,9 +88,8 @@
     private val usageHistory = UsageHistory()
     private val lastRequestCounts = HashMap<String, HashMap<String, Int>>()
     private val announcements = HoldingsAnnouncements()
-    private var storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
+    private val storeLoads = StoreLoads(loadWindowMs)
     private val monitor = ResidencyMonitor(log, metrics)
-    private val storeConcurrency = StoreConcurrency()
     private val coldDemand = ColdDemand()
     private var modelsWithCopy: Set<String> = emptySet()
     private var knownEngines: Set<String> = emptySet()
@@ -152,8 +149,7 @@
         lastRequestCounts.clear()
         coldDemand.clear()
         announcements.clear()
-        storeLoadLimiter = StoreLoadLimiter(loadWindowMs)
-        if (current != FIRST_EPOCH) storeLoadLimiter.assumeWindowUsed(steadyMs())
+        storeLoads.restart(steadyMs(), hasPredecessor = current != FIRST_EPOCH)
     }
 
     private fun handle(event: OrderEvent) {
@@ -194,10 +190,7 @@
         val now = steadyMs()
         val coldLoadMs = configuration()?.configuration?.services?.values
             ?.firstNotNullOfOrNull { it.engine?.models?.get(load.model) }?.coldLoadMs
-        val isHeld = load.model in tracker.holdings.models
-        if (isHeld && load.concurrentStoreLoads > 0 && coldLoadMs != null) {
-            storeConcurrency.onLoadEnded(load.concurrentStoreLoads, now - load.startedAtMs, coldLoadMs, now)
-        }
+        if (load.model in tracker.holdings.models && coldLoadMs != null) storeLoads.onEnded(load, coldLoadMs, now)
         logLoadEnd(tracker, load, source = "report")
     }
 
@@ -209,8 +202,8 @@
         "tookMs" to steadyMs() - load.startedAtMs,
         "expectedMs" to load.expectedMs,
         "storeLoadsAtStart" to load.concurrentStoreLoads,
-        "storeLoads" to ResidencyMonitor.storeLoadsOf(trackers.values),
-        "storeLoadLimit" to storeConcurrency.limit,
+        "storeLoads" to storeLoads.underWay(trackers.values, steadyMs()),
+        "storeLoadLimit" to storeLoads.limit,
         "source" to source,
     )
 
@@ -247,24 +240,24 @@
             val engineSpec = service.engine ?: return@forEach
             val engines = table.ofService(service.name).mapNotNull { toEngineSnapshot(it, engineSpec, uses, now) }
             engines.forEach { requestReportIfNeeded(scope, it.tracker, now) }
-            val ownTrackers = engines.mapTo(HashSet()) { it.tracker }
-            val loadsOfOthers = trackers.values.count { it !in ownTrackers && it.mayLoadFromStore(now) }
-            val storeLoads = StoreLoadAllowance(
-                starts = storeLoadLimiter.availableLoads(now, engineSpec.loadsPerSecond),
-                concurrent = (storeConcurrency.limit - loadsOfOthers).coerceAtLeast(0),
-            )
+            val others = trackers.values - engines.mapTo(HashSet()) { it.tracker }
+            val allowance = storeLoads.allowance(others, engineSpec.loadsPerSecond, now)
             val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand) +
                 coldDemand.queuedDemand(now).filter { it.model in engineSpec.models }
             val planner = ResidencyPlanner(engineSpec)
             val prefetch = now - endpointsChangedAtMs >= PREFETCH_DELAY_MS
-            val orders = planner.plan(engines, serviceDemand, usageHistory, storeLoads, prefetch, now)
+            val orders = planner.plan(engines, serviceDemand, usageHistory, allowance, prefetch, now)
             orders.forEach { sendOrder(scope, it, epoch, now) }
-            monitor.onPlanned(service, engines, serviceDemand, storeLoads, now)
+            monitor.onPlanned(service, engines, serviceDemand, allowance, now)
             // The planner gives up pending loads that can't go on.
             engines.map { it.tracker }
                 .filter { announcements.announcedLoad(it.incarnation.id) != it.announcedModel() }
                 .forEach(::announce)
         }
+        forgetGoneEngines(now)
+    }
+
+    private fun forgetGoneEngines(now: Long) {
         val knownIds = table.all().mapTo(HashSet()) { it.incarnation.id }
         if (trackers.keys != knownEngines) {
             knownEngines = trackers.keys.toSet()
@@ -341,10 +334,8 @@
         val tracker = planned.engine.tracker
         val id = tracker.incarnation.id
         val entry = table.find(id)?.entry ?: return
-        val isModelLoad = order is EngineOrder.LoadModel
         val isStoreLoad = order is EngineOrder.LoadModel && order.source == WeightSource.STORE
-        if (isStoreLoad) storeLoadLimiter.onLoadStarted(now)
-        val orderCount = tracker.onSent(order, if (isStoreLoad) concurrentStoreLoads(now) + 1 else 0)
+        val orderCount = tracker.onSent(order, if (isStoreLoad) storeLoads.onSent(trackers.values, now) else 0)
         log.write(
             "order-sent",
             "engine" to id,
@@ -352,8 +343,8 @@
             "orderCount" to orderCount,
             "epoch" to epoch,
             "reason" to planned.reason,
-            "expectedMs" to planned.durationMs.takeIf { isModelLoad },
-            "storeLoads" to ResidencyMonitor.storeLoadsOf(trackers.values).takeIf { isModelLoad },
+            "expectedMs" to planned.durationMs.takeIf { order is EngineOrder.LoadModel },
+            "storeLoads" to storeLoads.underWay(trackers.values, now).takeIf { order is EngineOrder.LoadModel },
         )
         scope.launch {
             // The lease is checked again immediately before the order is sent.
@@ -376,10 +367,6 @@
     /** Whether [key] names a model that no engine that stays holds, loads or has a copy of. */
     private fun isCold(key: String) = '/' !in key && key !in modelsWithCopy
 
-    /** Returns the loads from the store under way, or -1 while an engine executes an order that is not known. */
-    private fun concurrentStoreLoads(now: Long): Int =
-        if (trackers.values.any { it.hasUnknownOrder }) -1 else trackers.values.count { it.mayLoadFromStore(now) }
-
     private fun recordUsage(now: Long) {
         fleet.allRequestCounts().forEach { (vm, counts) ->
             val knownCounts = lastRequestCounts.getOrPut(vm) { HashMap() }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/ResidencyMonitor.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/ResidencyMonitor.kt
@@ -8,12 +8,10 @@
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.Metrics
 import io.daisybend.serving.endpoint.AdapterKey
-import io.daisybend.serving.residency.EngineOrder
 import io.daisybend.serving.residency.EngineSnapshot
 import io.daisybend.serving.residency.EngineTracker
 import io.daisybend.serving.residency.QueuedDemand
 import io.daisybend.serving.residency.StoreLoadAllowance
-import io.daisybend.serving.residency.WeightSource
 import io.daisybend.serving.site.Service
 import java.util.concurrent.ConcurrentHashMap
 
@@ -74,13 +72,13 @@
         if (nowMs - (recordedAtMs[service.name] ?: Long.MIN_VALUE / 2) < RECORD_INTERVAL_MS) return
         recordedAtMs[service.name] = nowMs
         val usable = engines.filter { it.isUsable }.map { it.tracker }
-        val storeLoads = storeLoadsOf(engines.map { it.tracker })
+        val storeLoads = engines.count { it.tracker.mayLoadFromStore(nowMs) }
         val waitStates = queued.associateWith { waitStateOf(it, usable) }
         val waiting = waitStates.entries.groupBy({ it.value }, { it.key.model to it.key.adapter })
             .mapValues { (_, keys) -> keys.distinct().size }
         stateByService[service.name] = State(storeLoads, waiting)
         if (queued.isEmpty() && storeLoads == 0) return
-        val copies = usable.flatMapTo(HashSet()) { it.holdings.models.keys + it.holdings.onDisk + it.holdings.inMemory }
+        val copies = usable.flatMapTo(HashSet()) { it.holdings.copies() }
         log.write(
             "residency",
             "service" to service.name,
@@ -114,12 +112,6 @@
         /** Number of models named in a line. */
         private const val MAX_NAMES = 6
 
-        /** Returns how many of [trackers] load from the store, or are ordered to. */
-        fun storeLoadsOf(trackers: Collection<EngineTracker>): Int = trackers.count { tracker ->
-            val ordered = tracker.outstandingOrder as? EngineOrder.LoadModel
-            tracker.runningLoad?.isPredictable == false || ordered?.source == WeightSource.STORE
-        }
-
         /** Returns what [demand] lacks at [usable] engines. */
         fun waitStateOf(demand: QueuedDemand, usable: Collection<EngineTracker>): WaitState {
             val holders = usable.filter { demand.model in it.holdings.models && it.unloadingModel != demand.model }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
@@ -6,9 +6,9 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-/** Announced loads by engine; loads of engines that [isListed] denies have ended with them; thread-safe. */
+/** Announced loads by engine, while [isListed] returns true for the engine; thread-safe. */
 internal class LoadForecast(private val isListed: (String) -> Boolean) {
-    private data class ExpectedLoad(val engine: String, val model: String, val endsAtMs: Long)
+    private data class ExpectedLoad(val model: String, val endsAtMs: Long)
 
     private val loadsByEngine = ConcurrentHashMap<String, ExpectedLoad>()
 
@@ -17,14 +17,14 @@
         if (held.loading == null) {
             loadsByEngine.remove(held.engine)
         } else {
-            loadsByEngine[held.engine] = ExpectedLoad(held.engine, held.loading, nowMs + held.loadedInMs)
+            loadsByEngine[held.engine] = ExpectedLoad(held.loading, nowMs + held.loadedInMs)
         }
     }
 
     /** Returns the time until the first load of [model] ends, in milliseconds, or null if no load is known. */
-    fun loadedInMs(model: String, nowMs: Long): Long? = loadsByEngine.values
-        .filter { it.model == model && !isOverdue(it, nowMs) && isListed(it.engine) }
-        .minOfOrNull { (it.endsAtMs - nowMs).coerceAtLeast(0) }
+    fun loadedInMs(model: String, nowMs: Long): Long? = loadsByEngine
+        .filter { (engine, load) -> load.model == model && !isOverdue(load, nowMs) && isListed(engine) }
+        .minOfOrNull { (_, load) -> (load.endsAtMs - nowMs).coerceAtLeast(0) }
 
     /** Removes loads whose end was not announced in time, because the report was lost or the holder has ended. */
     fun removeOverdue(nowMs: Long) {
--- a/entry/src/test/kotlin/io/daisybend/entry/CutHeadTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/CutHeadTest.kt
@@ -112,6 +112,18 @@
     }
 }
 
+/** Begins a stream at an endpoint with [behaviour]; the other endpoint, which is returned too, cuts its heads. */
+private suspend fun Site.beginStreamBesideCutHeads(behaviour: Behaviour): Pair<TestCaller, FakeEndpoint> {
+    queueForAll(behaviour)
+    val caller = connect()
+    caller.send("POST", "/stream/x", "prompt")
+    eventually(2.seconds) { ran shouldHaveSize 1 }
+    val other = endpoints.single { it.ran.isEmpty() }
+    other.behaviours.clear()
+    repeat(MANY) { other.behaviours.add(Behaviour.RAW) }
+    return caller to other
+}
+
 /** Calls [check] for both ends of a connection, new and kept. */
 private suspend fun forEachEnd(check: suspend (endsWithReset: Boolean, isKept: Boolean) -> Unit) {
     for (endsWithReset in listOf(false, true)) for (isKept in listOf(false, true)) check(endsWithReset, isKept)
@@ -207,13 +219,7 @@
             configure(timeoutMs = 15_000)
             endpoints.forEach { it.pauseMs = 3_500 }
             setRawAnswer { headOf(it, CHUNKED).removeSuffix("\r\n") }
-            queueForAll(Behaviour.SLOW)
-            val caller = connect()
-            caller.send("POST", "/stream/x", "prompt")
-            eventually(2.seconds) { ran shouldHaveSize 1 }
-            val other = endpoints.single { it.ran.isEmpty() }
-            other.behaviours.clear()
-            repeat(MANY) { other.behaviours.add(Behaviour.RAW) }
+            val (caller, _) = beginStreamBesideCutHeads(Behaviour.SLOW)
             caller.read().body shouldBe allEvents
             ran shouldHaveSize 2
         }
@@ -223,13 +229,7 @@
         withSite {
             configure()
             setRawAnswer { headOf(it, CHUNKED).removeSuffix("\r\n") }
-            queueForAll(Behaviour.VANISH)
-            val caller = connect()
-            caller.send("POST", "/stream/x", "prompt")
-            eventually(2.seconds) { ran shouldHaveSize 1 }
-            val other = endpoints.single { it.ran.isEmpty() }
-            other.behaviours.clear()
-            repeat(MANY) { other.behaviours.add(Behaviour.RAW) }
+            val (caller, other) = beginStreamBesideCutHeads(Behaviour.VANISH)
             caller.readBroken() shouldBe eventsBeforeBreak
             other.ran shouldHaveSize 1
         }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineOrder.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineOrder.kt
@@ -4,6 +4,7 @@
 package io.daisybend.serving.residency
 
 import io.daisybend.serving.endpoint.EngineHoldings
+import kotlin.math.abs
 
 /** An order to an engine. */
 public sealed interface EngineOrder {
@@ -69,6 +70,12 @@
     }
 }
 
+/**
+ * Returns the time from [nowMs] until a load that is expected to end at [expectedAtMs] ends, in milliseconds. An
+ * overdue load is expected to take as long again as it is overdue.
+ */
+public fun remainingLoadMs(expectedAtMs: Long, nowMs: Long): Long = abs(expectedAtMs - nowMs)
+
 /** Returns where an engine with these holdings loads [model] from. */
 internal fun EngineHoldings.sourceOf(model: String): WeightSource = when (model) {
     in inMemory -> WeightSource.MEMORY
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -12,7 +12,6 @@
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.site.EngineSpec
-import kotlin.math.abs
 
 private data class UnansweredOrder(val expected: Long, val order: EngineOrder, val sentAtMs: Long)
 
@@ -104,12 +103,9 @@
         return needsReport || isUnloading || hasUnknownOrder || isLoadDue
     }
 
-    /**
-     * Returns the expected time until the engine accepts orders, in milliseconds. An overdue load is expected to take
-     * as long again as it is overdue.
-     */
+    /** Returns the expected time until the engine accepts orders, in milliseconds. */
     public fun busyForMs(nowMs: Long): Long =
-        runningLoad?.let { abs(it.expectedAtMs - nowMs) }
+        runningLoad?.let { remainingLoadMs(it.expectedAtMs, nowMs) }
             ?: if (acceptsOrders(nowMs)) 0 else ASSUMED_BUSY_MS
 
     /** Returns how long the engine has held [model], in milliseconds, or null when no load of it was seen. */
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/StoreConcurrency.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/StoreConcurrency.kt
@@ -7,13 +7,10 @@
 
 import kotlin.math.roundToInt
 
-/** The loads from the weight store that may start now and that may be under way together. */
-public data class StoreLoadAllowance(val starts: Int, val concurrent: Int)
-
 /** Limits the loads from the store that are under way, by the durations of earlier ones; not thread-safe. */
-public class StoreConcurrency {
+internal class StoreConcurrency {
     /** The loads that may be under way together. */
-    public var limit: Int = INITIAL_LIMIT
+    var limit: Int = INITIAL_LIMIT
         private set
 
     private class SlowedLoad(val limit: Int, val endedAtMs: Long)
@@ -26,7 +23,7 @@
      * Records that a load ended at [nowMs]: it started as one of [concurrent] loads, took [tookMs], and takes
      * [fullSpeedMs] beside no others.
      */
-    public fun onLoadEnded(concurrent: Int, tookMs: Long, fullSpeedMs: Long, nowMs: Long) {
+    fun onLoadEnded(concurrent: Int, tookMs: Long, fullSpeedMs: Long, nowMs: Long) {
         if (fullSpeedMs < MIN_FULL_SPEED_MS) return
         val slowdown = (tookMs - REPORT_LAG_MS) / fullSpeedMs.toDouble()
         unconfirmed = unconfirmed?.takeIf { nowMs - it.endedAtMs < fullSpeedMs * PROBE_PAUSE_LOADS }
@@ -36,7 +33,7 @@
     private fun onFullSpeed(concurrent: Int, fullSpeedMs: Long, nowMs: Long) {
         unconfirmed = unconfirmed?.takeIf { it.limit >= concurrent }
         val mayProbe = loweredAtMs?.let { nowMs - it > fullSpeedMs * PROBE_PAUSE_LOADS } ?: true
-        if (concurrent >= limit && mayProbe) limit = minOf(concurrent, limit) + 1
+        if (concurrent >= limit && mayProbe) limit++
     }
 
     private fun onSlowed(concurrent: Int, slowdown: Double, nowMs: Long) {
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/ReplayedPolicies.kt
@@ -13,8 +13,7 @@
     private val trackers = HashMap<String, EngineTracker>()
     private val planner = ResidencyPlanner(spec, settings)
     private val history = UsageHistory()
-    private val limiter = StoreLoadLimiter(windowMs = 5_000)
-    private val concurrency = StoreConcurrency()
+    private val storeLoads = StoreLoads(windowMs = 5_000)
     private val coldDemand = ColdDemand()
 
     override fun order(
@@ -34,10 +33,10 @@
             val (model, adapter, urgency) = key
             QueuedDemand(model, adapter, requests.size, urgency, waitedMs = nowMs - requests.minOf { it.arrivedAtMs })
         }
-        val allowed = if (isStoreUnavailable) 0 else limiter.availableLoads(nowMs, spec.loadsPerSecond)
-        val storeLoads = StoreLoadAllowance(allowed, concurrency.limit)
+        val loadsPerSecond = if (isStoreUnavailable) 0.0 else spec.loadsPerSecond
+        val allowance = storeLoads.allowance(others = emptyList(), loadsPerSecond, nowMs)
         val demand = queued + coldDemand.queuedDemand(nowMs)
-        planner.plan(planned, demand, history, storeLoads, prefetch = true, nowMs = nowMs).forEach {
+        planner.plan(planned, demand, history, allowance, prefetch = true, nowMs = nowMs).forEach {
             send(it, engines, nowMs)
         }
     }
@@ -67,23 +66,15 @@
     private fun readReport(tracker: EngineTracker, engine: ReplayedEngine, nowMs: Long) {
         val previousLoad = tracker.runningLoad
         tracker.onReport(engine.report(nowMs), nowMs)
-        if (previousLoad == null || tracker.runningLoad != null || previousLoad.concurrentStoreLoads == 0) return
-        val coldLoadMs = spec.models.getValue(previousLoad.model).coldLoadMs
-        concurrency.onLoadEnded(
-            previousLoad.concurrentStoreLoads,
-            nowMs - previousLoad.startedAtMs,
-            coldLoadMs,
-            nowMs,
-        )
+        if (previousLoad == null || tracker.runningLoad != null) return
+        storeLoads.onEnded(previousLoad, spec.models.getValue(previousLoad.model).coldLoadMs, nowMs)
     }
 
     private fun send(planned: PlannedOrder, engines: List<ReplayedEngine>, nowMs: Long) {
         val tracker = planned.engine.tracker
         val order = planned.order
         val isStoreLoad = order is EngineOrder.LoadModel && order.source == WeightSource.STORE
-        if (isStoreLoad) limiter.onLoadStarted(nowMs)
-        val concurrent = trackers.values.count { it.mayLoadFromStore(nowMs) } + 1
-        val expected = tracker.onSent(order, if (isStoreLoad) concurrent else 0)
+        val expected = tracker.onSent(order, if (isStoreLoad) storeLoads.onSent(trackers.values, nowMs) else 0)
         val answer = engines.single { it.id == tracker.incarnation.id }.order(expected, order, nowMs)
         tracker.onAnswer(answer, nowMs, nowMs + planned.durationMs)
     }
