Hand out each listener port of the tests once

Cause, as far as runs show it: a site asks for its five ports before it binds the first of them, and each draw was independent, so two of them could be equal.

Ruled out: a port that an earlier site still listens on (the listeners of a test VM stay open until the process ends; each draw checks that nothing listens there); a port in the ephemeral range of this machine (32768 to 60999).

TestSite of the daemon remembers its ports as well, and PeerNetworkTest takes its port below the ephemeral range. No check changes.

--- a/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/TestSite.kt
@@ -40,7 +40,7 @@
 import java.net.ServerSocket
 import java.security.MessageDigest
 import java.util.HexFormat
-import kotlin.random.Random
+import java.util.concurrent.ConcurrentHashMap
 
 /** A key in plain text with its manifest entry. */
 class TestKey(keyId: String, val teamId: TeamId, secret: String = "secret-of-$keyId") {
@@ -207,15 +207,16 @@
         private val json = Json { encodeDefaults = true }
 
         /**
-         * Returns a free port below the ephemeral range. An outgoing connection could take an ephemeral port between
-         * this call and the start of the listener.
+         * Returns a free port below the ephemeral range, which no earlier call has returned. An outgoing connection
+         * could take an ephemeral port between this call and the start of the listener.
          */
-        fun freePort(): Int = generateSequence { Random.nextInt(LISTENER_PORTS.first, LISTENER_PORTS.last) }
-            .first { port ->
+        fun freePort(): Int = generateSequence { LISTENER_PORTS.random() }.first { port ->
+            handedOutPorts.add(port) &&
                 runCatching { ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close() }.isSuccess
-            }
+        }
 
-        private val LISTENER_PORTS = 12_000..32_000
+        private val LISTENER_PORTS = 12_000 until 32_000
+        private val handedOutPorts = ConcurrentHashMap.newKeySet<Int>()
 
         /** Runs [body] on a site with [vmCount] ready daemons and stops the site afterwards. */
         suspend fun run(
--- a/daemon/src/test/kotlin/io/daisybend/daemon/configuration/SiteFake.kt
+++ b/daemon/src/test/kotlin/io/daisybend/daemon/configuration/SiteFake.kt
@@ -129,5 +129,4 @@
 private const val POLL_INTERVAL_MS = 20L
 
 /** Returns [count] different free ports; see [TestSite.freePort]. */
-internal fun freePorts(count: Int): List<Int> =
-    generateSequence { TestSite.freePort() }.distinct().take(count).toList()
+internal fun freePorts(count: Int): List<Int> = List(count) { TestSite.freePort() }
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeServer.kt
@@ -63,7 +63,7 @@
     fun header(name: String): String? = head.headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
 
-/** Listens on an unused port of the loopback address. */
+/** Listens on an unused port of the loopback address, after a crash on the same one. */
 internal class FakeServer(private val scope: CoroutineScope, private val handle: suspend (FakeServerCall) -> Unit) {
     private lateinit var server: ServerSocket
     private lateinit var selector: SelectorManager
@@ -77,7 +77,7 @@
 
     suspend fun start(selector: SelectorManager): FakeServer {
         this.selector = selector
-        return listen(port = 0)
+        return listen(ListenerPorts.next())
     }
 
     /** Closes all connections and listens again after [downMs] milliseconds. */
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -30,15 +30,9 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.job
 import java.io.IOException
-import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
-/** Returns an unused port below the ephemeral port range. */
-internal fun freePort(): Int = generateSequence { Random.nextInt(12_000, 32_000) }
-    .first { port -> runCatching { ServerSocket(port).close() }.isSuccess }
-
 internal class Response(val head: ResponseHead, val body: String) {
     val status get() = head.status
 }
@@ -133,12 +127,12 @@
     val store = FakeStore()
     val endpoints = listOf(FakeEndpoint("e-1"), FakeEndpoint("e-2"))
     private val selector = SelectorManager(Dispatchers.IO)
-    private val callerPort = freePort()
-    private val readyPort = freePort()
-    private val metricsPort = freePort()
+    private val callerPort = ListenerPorts.next()
+    private val readyPort = ListenerPorts.next()
+    private val metricsPort = ListenerPorts.next()
 
     /** UDP port on which the VM receives the reports of its peers. */
-    val peerPort = freePort()
+    val peerPort = ListenerPorts.next()
     lateinit var vm: EntryVm
 
     init {
@@ -171,7 +165,7 @@
             region=home
             listen.front=127.0.0.1:$callerPort
             listen.readiness=127.0.0.1:$readyPort
-            listen.directory=127.0.0.1:${freePort()}
+            listen.directory=127.0.0.1:${ListenerPorts.next()}
             portRange=$peerPort,$metricsPort
             platform.address=127.0.0.1:$storePort
             bounds.budgetExtra=50
--- a/transport/src/test/kotlin/io/daisybend/transport/PeerNetworkTest.kt
+++ b/transport/src/test/kotlin/io/daisybend/transport/PeerNetworkTest.kt
@@ -18,9 +18,10 @@
     val alpha = VmId("alpha")
     val beta = VmId("beta")
 
-    fun freeAddress() = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use {
-        HostAndPort("127.0.0.1", it.localPort)
-    }
+    // Below the ephemeral range: a connection could take an ephemeral port before the listener binds it.
+    fun freeAddress() = generateSequence { (12_000 until 32_000).random() }
+        .first { port -> runCatching { ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close() }.isSuccess }
+        .let { HostAndPort("127.0.0.1", it) }
 
     suspend fun withPair(
         dialerSecret: ByteArray = secret,
