Share the reports of a silent engine between its streams

What callers saw: nothing directly; the questions are priced, and an engine that is busy answers each of them.

Cause: EngineOffers.isEngineAtWork asked per stream, while EngineEndDetector shares one check per engine.

Change: EngineRuns keeps the question that is under way for an engine for 50 ms, and requests that ask within that time wait for the same report. The time is below the shortest pause of the VM that SilentEngineHandover makes up for, so no stream gets an answer from before a pause that it knows of.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -146,7 +146,7 @@
         connectionPool,
         endpointPool,
         EngineEndDetector(connectionPool, quarantine, log, ::steadyMs),
-        EngineRuns(engineClient, log),
+        EngineRuns(engineClient, log, ::steadyMs),
         teamRateLimiter,
         responseMemory,
         log,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -43,7 +43,7 @@
     override suspend fun isEngineAtWork(): Boolean {
         val request = offered() ?: return false
         if (admitted.service.engine == null || !endpointPool.hasAlternative(admitted, others(request))) return false
-        val isAtWork = engineRuns.isListed(request.engine, admitted.request.attemptId)
+        val isAtWork = engineRuns.find(request.engine.entry, admitted.request.attemptId) != null
         if (isAtWork) {
             log.write(
                 "silent-engine-at-work",
