Move a stream on when its events are made but do not arrive

Cause: being listed shows that the engine works on the stream, not that its events can arrive.

Ruled out: closing the connection first and asking again. An engine that has preempted a stream lists it too, and would lose what it has read of the prompt.

Change: a report also counts the events that were made. If two reports in a row count more than this VM has got, and none has arrived in between, the connection is dead, and the rest is offered elsewhere. Only streams that began at the engine are judged, since an engine may count the events of a resumed one from the start of the stream or from its own.

Evidence: StreamSilenceTest, "a stream whose connection has died goes on at another engine, although its engine works on it".

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -5,12 +5,21 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
+import io.daisybend.platform.EngineRun
 import io.daisybend.serving.endpoint.Endpoint
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** The engine that has a request, and what another one needs to go on with it. */
-internal class OfferedRequest(val engine: Endpoint, val lastEventId: String?, val failedEndpoints: Set<String>)
+internal class OfferedRequest(
+    val engine: Endpoint,
+    val lastEventId: String?,
+    val failedEndpoints: Set<String>,
+    /** Number of events that the engine has sent. */
+    val receivedEvents: Int,
+    /** Whether the engine began the stream, so that it counts the events as this VM does. */
+    val isFromStart: Boolean,
+)
 
 /** Offers [admitted], whose current state [offered] returns, to other engines. */
 internal class EngineOffers(
@@ -27,6 +36,9 @@
     /** Scope of writes that go on after the return of an offer. */
     lateinit var writeScope: CoroutineScope
 
+    /** The engine whose last report counted events that had not arrived, and how many had, or null. */
+    private var undelivered: Pair<Endpoint, Int>? = null
+
     /** The send of the engine that has accepted the request, or null. */
     @Volatile
     var accepted: Send? = null
@@ -43,17 +55,23 @@
     override suspend fun isEngineAtWork(): Boolean {
         val request = offered() ?: return false
         if (admitted.service.engine == null || !endpointPool.hasAlternative(admitted, others(request))) return false
-        val isAtWork = engineRuns.find(request.engine.entry, admitted.request.attemptId) != null
-        if (isAtWork) {
-            log.write(
-                "silent-engine-at-work",
-                "request" to admitted.request.attemptId,
-                "endpoint" to request.engine.incarnation.id,
-            )
-        }
-        return isAtWork
+        val run = engineRuns.find(request.engine.entry, admitted.request.attemptId)
+        val wasUndelivered = undelivered == request.engine to request.receivedEvents
+        undelivered = (request.engine to request.receivedEvents).takeIf { run != null && request.lacksEventsOf(run) }
+        if (run == null) return false
+        val isConnectionDead = wasUndelivered && undelivered != null
+        log.write(
+            if (isConnectionDead) "silent-connection" else "silent-engine-at-work",
+            "request" to admitted.request.attemptId,
+            "endpoint" to request.engine.incarnation.id,
+            "eventsMade" to run.eventCount,
+            "eventsReceived" to request.receivedEvents,
+        )
+        return !isConnectionDead
     }
 
+    private fun OfferedRequest.lacksEventsOf(run: EngineRun) = isFromStart && (run.eventCount ?: 0) > receivedEvents
+
     override suspend fun offer(): Boolean {
         val request = offered() ?: return false
         val endpoint = chooseOther(request) ?: return false
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -145,8 +145,16 @@
         return select().also { waitedMs += steadyMs() - waitStartedAtMs }
     }
 
-    private fun offeredRequest(): OfferedRequest? =
-        lastExchange?.let { OfferedRequest(it.endpoint, relay.lastEventId, failedEndpoints.toSet()) }
+    private fun offeredRequest(): OfferedRequest? = lastExchange?.let {
+        OfferedRequest(
+            engine = it.endpoint,
+            lastEventId = relay.lastEventId,
+            failedEndpoints = failedEndpoints.toSet(),
+            receivedEvents = it.progress.eventCount,
+            isFromStart =
+            !admitted.takesUpStream && sends.endpointsUsed.lastIndexOf(it.endpoint.incarnation.id) == 0,
+        )
+    }
 
     private fun onHandedOver(silent: Endpoint, result: SendResult) {
         failedEndpoints.add(silent.incarnation.id)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
@@ -1,8 +1,9 @@
 /*
  * Hands a request of a silent engine over to another one. The silent engine keeps the request until another engine has
  * accepted it: an engine that is full or refuses the request must not end a stream that would have gone on. It also
- * keeps a request that it says it works on, since it may go on after the close of its connection. Silence counts only
- * while this VM runs: after a pause of its own, what the engine sent meanwhile is read first.
+ * keeps a request that it says it works on, since it may go on after the close of its connection, unless it has made
+ * events that don't arrive. Silence counts only while this VM runs: after a pause of its own, what the engine sent
+ * meanwhile is read first.
  */
 package io.daisybend.entry.exchange
 
@@ -24,7 +25,7 @@
     /** Whether the engine that has the request has ended. */
     suspend fun hasEngineEnded(): Boolean
 
-    /** Whether the engine that has the request says that it works on it. */
+    /** Whether the engine that has the request says that it works on it, and what it made has arrived. */
     suspend fun isEngineAtWork(): Boolean
 
     /** Offers the request to another engine; returns whether it has accepted it. */
--- a/entry/src/test/kotlin/io/daisybend/entry/StreamSilenceTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/StreamSilenceTest.kt
@@ -23,6 +23,10 @@
 private const val LONG_TARGET_MS = 2_500L
 private const val LONG_TIMEOUT_MS = 15_000L
 
+/** A time to the first event, in milliseconds, and how long its callers wait for the next one. */
+private const val TARGET_MS = 1_000L
+private const val CALLER_GAP_MS = 4 * TARGET_MS
+
 /** Sends a stream that one endpoint handles as [behaviour]; the other one handles what comes to it as [others]. */
 private suspend fun Site.streamWithOther(behaviour: Behaviour, others: Behaviour): Response {
     queueForAll(behaviour)
@@ -106,6 +110,23 @@
         }
     }
 
+    // Such a stream stayed at its engine until its caller left.
+    test("a stream whose connection has died goes on at another engine, although its engine works on it") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS, targetLatencyMs = TARGET_MS, service = Site.MODEL_SERVICE)
+            endpoints.forEach {
+                it.pauseMs = LONG_TIMEOUT_MS
+                it.listsRuns = true
+                it.eventsMade = FakeEndpoint.EVENTS
+            }
+            val tookMs = measureTimeMillis {
+                streamWithOther(Behaviour.SLOW, Behaviour.SERVE).body shouldBe allEvents
+            }
+            tookMs shouldBeLessThan CALLER_GAP_MS
+            ran shouldHaveSize 2
+        }
+    }
+
     test("a silent stream goes on at another engine if the reports of its engine do not list it") {
         withSite {
             configure(timeoutMs = LONG_TIMEOUT_MS, service = Site.MODEL_SERVICE)
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -152,6 +152,10 @@
     @Volatile
     var listsRuns = false
 
+    /** Number of events that the reports of the endpoint name for each request that it works on. */
+    @Volatile
+    var eventsMade = BREAK_AT_EVENT - 1
+
     /** Attempt ids of the requests that the endpoint works on. */
     private val running = ConcurrentHashMap.newKeySet<String>()
 
@@ -197,7 +201,7 @@
     }
 
     private fun report(): String {
-        val runs = running.joinToString { """["$it",100,3,5]""" }
+        val runs = running.joinToString { """["$it",100,$eventsMade,5]""" }
         return REPORT.removeSuffix("}") + if (listsRuns) ""","runs":[$runs]}""" else "}"
     }
 
