Name the limits of a VM that stood still in one place

Not done: one watch for pauses instead of two detectors. GracefulStop looks at its polls and SilentEngineHandover at its waits, each on the threads whose reads it has to wait for.

--- a/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
@@ -5,6 +5,7 @@
 
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.RequestHandler
+import io.daisybend.entry.exchange.Standstill
 import io.daisybend.entry.exchange.StopState
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
@@ -73,12 +74,12 @@
      * requests that came meanwhile are read first; the polls are as late as the reads, with which they share threads.
      */
     private suspend fun awaitConnectionsUntil(deadlineMs: Long) = withContext(Dispatchers.Default) {
-        var closeFromMs = steadyMs() + UNREAD_INPUT_MS
+        var closeFromMs = steadyMs() + Standstill.UNREAD_INPUT_MS
         while (callers.connectionCount > 0 && steadyMs() < deadlineMs) {
             val pollAtMs = steadyMs() + POLL_INTERVAL_MS
             delay(POLL_INTERVAL_MS)
             val nowMs = steadyMs()
-            if (nowMs - pollAtMs > POLL_LATENESS_MS) closeFromMs = nowMs + UNREAD_INPUT_MS
+            if (nowMs - pollAtMs > Standstill.TIMER_LATENESS_MS) closeFromMs = nowMs + Standstill.UNREAD_INPUT_MS
             if (nowMs >= closeFromMs) callers.closeIdle()
         }
     }
@@ -94,12 +95,6 @@
         const val FINAL_ANSWERS_MS = 200L
         const val POLL_INTERVAL_MS = 50L
 
-        /** Lateness of a poll above which this VM stood still, in milliseconds: a period of a processor limit. */
-        const val POLL_LATENESS_MS = 100L
-
-        /** Time in which input that arrived while this VM stood still is read, in milliseconds: two such periods. */
-        const val UNREAD_INPUT_MS = 200L
-
         /** How long the JVM waits for threads in native code, such as those of selectors, before it ends. */
         const val JVM_END_MS = 300L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
@@ -138,7 +138,9 @@
             val idleMs = configuration.table?.configuration?.limits?.idleTimeoutMs ?: defaultLimits.idleTimeoutMs
             val remainingMs = waitStartedAtMs + idleMs - steadyMs()
             // A VM that stood still reads first what came meanwhile.
-            if (remainingMs <= 0) return withTimeoutOrNull(UNREAD_INPUT_MS) { connection.source.fill() } ?: false
+            if (remainingMs <= 0) {
+                return withTimeoutOrNull(Standstill.UNREAD_INPUT_MS) { connection.source.fill() } ?: false
+            }
             withTimeoutOrNull(remainingMs) { connection.source.fill() }?.let { return it }
         }
     }
@@ -314,9 +316,6 @@
 
         const val MAX_STACK_CHARS = 4_000
 
-        /** Time in which input that arrived before the idle time-out is read, in milliseconds. */
-        const val UNREAD_INPUT_MS = 200L
-
         /** Timeout for discarding the rest of an unreadable request, in milliseconds. */
         const val DRAIN_TIMEOUT_MS = 500L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
@@ -63,7 +63,7 @@
                     nextOfferAtMs = steadyMs() + limits.nextCheckInMs(steadyMs() - silentSinceMs)
                 }
                 // The last part of the wait is one of its own, in which a pause that ends before it can be made up for.
-                waitMs > UNREAD_INPUT_MS -> awaitPunctually(step, waitMs - UNREAD_INPUT_MS)
+                waitMs > Standstill.UNREAD_INPUT_MS -> awaitPunctually(step, waitMs - Standstill.UNREAD_INPUT_MS)
                 waitMs > 0 -> awaitPunctually(step, waitMs)
                 else -> pendingOffer = scope.async { offerIfDue(silentSinceMs, limits) }
             }
@@ -78,7 +78,7 @@
     private fun offerAtMs(silentSinceMs: Long, limits: SilenceLimits): Long {
         val dueAtMs = maxOf(silentSinceMs + limits.checkAfterMs, nextOfferAtMs)
         val isDelayed = !lastPauseMs.isEmpty() && lastPauseMs.first <= silentSinceMs + limits.toleranceMs
-        return if (isDelayed) maxOf(dueAtMs, lastPauseMs.last + UNREAD_INPUT_MS) else dueAtMs
+        return if (isDelayed) maxOf(dueAtMs, lastPauseMs.last + Standstill.UNREAD_INPUT_MS) else dueAtMs
     }
 
     /** Waits up to [waitMs] for [step]; a wait that ends late shows that this VM stood still. */
@@ -91,7 +91,7 @@
     /** Records that this VM stood still if it goes on well after [expectedAtMs]. */
     private fun recordPause(expectedAtMs: Long) {
         val nowMs = steadyMs()
-        if (nowMs - expectedAtMs > TIMER_LATENESS_MS) lastPauseMs = expectedAtMs..nowMs
+        if (nowMs - expectedAtMs > Standstill.TIMER_LATENESS_MS) lastPauseMs = expectedAtMs..nowMs
     }
 
     /** Takes back what was offered, since the engine goes on with the request. */
@@ -110,7 +110,7 @@
 
     private suspend fun offerIfDue(silentSinceMs: Long, limits: SilenceLimits): Boolean {
         val askedAtMs = steadyMs()
-        val wasDelayed = lastPauseMs.last + UNREAD_INPUT_MS > silentSinceMs + limits.toleranceMs
+        val wasDelayed = lastPauseMs.last + Standstill.UNREAD_INPUT_MS > silentSinceMs + limits.toleranceMs
         val isDue = watchingPauses {
             limits.isOfferDue(askedAtMs - silentSinceMs, offers::hasEngineEnded) && !offers.isEngineAtWork()
         }
@@ -136,13 +136,7 @@
     }
 
     private companion object {
-        /** Lateness of a timer above which this VM stood still, in milliseconds: a period of a processor limit. */
-        const val TIMER_LATENESS_MS = 100L
-
         /** Interval at which pauses are looked for during questions to an engine, in milliseconds. */
         const val TICK_MS = 50L
-
-        /** Time in which input that arrived while this VM stood still is read, in milliseconds: two such periods. */
-        const val UNREAD_INPUT_MS = 200L
     }
 }
