Count the grace period of a stop from SIGTERM, not from its beginning

What callers saw: nothing yet in a report; a process that outlives its grace period is killed with the requests that it still holds (LOST).

Cause: a stop that is requested while the VM still starts begins only after the start, and counted its grace period from then.

Ruled out: the end of the JVM (StopDurationTest, 7.3 to 7.6 s of 8) and the second SIGTERM 2.2 s after the first, which has no effect: the draining began 2.5 s after "stopping", the end was due 7 s after it.

Change: ProcessSignals keeps the time of the first SIGTERM, and the phases of the stop count from it. A VM that starts too slowly thus closes its listening socket at once. "stopping" says how long the request was ago.

Evidence: StopDurationTest, a stop requested 1.5 s ago with a grace period of 3 s. With the time of the request ignored it ends after 4,012 ms ("4012 should be < 3000"); now it passes.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryMain.kt
@@ -72,7 +72,7 @@
     runBlocking { vm.start(CoroutineScope(SupervisorJob() + Dispatchers.Default)) }
     // The JVM writes its archive of classes in its shutdown sequence.
     if (!signals.awaitStopRequest(runForMs)) exitProcess(0)
-    runBlocking { vm.stop() }
+    runBlocking { vm.stop(signals.stopRequestedAtMs) }
 }
 
 private fun parse(options: EntryOptions, args: Array<String>) {
--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -313,8 +313,12 @@
         }
     }
 
-    /** Stops gracefully; returns when the process may end. */
-    suspend fun stop() = gracefulStop.run { callerListener?.close() }
+    /**
+     * Stops gracefully; returns when the process may end. The grace period counts from [requestedAtMs] of the monotonic
+     * clock, from now if that is null.
+     */
+    suspend fun stop(requestedAtMs: Long? = null) =
+        gracefulStop.run(requestedAtMs ?: steadyMs()) { callerListener?.close() }
 
     /** Logs that the settings file was read again; [problem] is the reason why it is invalid, or null. */
     fun onSettingsChanged(problem: String?) {
--- a/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
@@ -35,22 +35,26 @@
     private val marginMs = minOf(END_MS + STALLS_MS, graceMs / 6).coerceAtLeast(END_MS)
 
     /**
-     * Keeps accepting requests for [ACCEPT_WHILE_STOPPING_MS], but for no more than a third of the grace period, so
-     * that cached addresses expire (all do if the grace period is longer than 6 s). Then closes the listening socket
+     * Keeps accepting requests for [ACCEPT_WHILE_STOPPING_MS] from [requestedAtMs] on, which may have passed while the
+     * VM still started, but for no more than a third of the grace period, so that cached addresses expire (all do if the grace period is longer than 6 s). Then closes the listening socket
      * with [closeListener] and waits for the requests that arrived by then, and until callers have read their answers,
      * at most until [marginMs] before the end of the grace period; later requests are refused as not run. Requests
      * without a response are then answered with whether they may have run. Later calls wait for the end of the first.
      */
-    suspend fun run(closeListener: suspend () -> Unit) {
-        val startedAtMs = steadyMs()
-        val endsAtMs = startedAtMs + graceMs - marginMs
-        if (!state.tryBegin(startedAtMs, endsAtMs)) {
+    suspend fun run(requestedAtMs: Long, closeListener: suspend () -> Unit) {
+        val endsAtMs = requestedAtMs + graceMs - marginMs
+        if (!state.tryBegin(requestedAtMs, endsAtMs)) {
             log.write("stop-requested-again")
             return ended.await()
         }
-        log.write("stopping", "underWay" to callers.requestsInProgress, "connections" to callers.connectionCount)
+        log.write(
+            "stopping",
+            "underWay" to callers.requestsInProgress,
+            "connections" to callers.connectionCount,
+            "sinceRequestMs" to steadyMs() - requestedAtMs,
+        )
         onBegun()
-        delay(minOf(ACCEPT_WHILE_STOPPING_MS, graceMs / 3))
+        delay(requestedAtMs + minOf(ACCEPT_WHILE_STOPPING_MS, graceMs / 3) - steadyMs())
         closeListener()
         callers.startDraining()
         log.write("draining", "underWay" to callers.requestsInProgress, "connections" to callers.connectionCount)
@@ -62,7 +66,7 @@
             "stopped",
             "underWay" to callers.requestsInProgress,
             "connections" to callers.connectionCount,
-            "tookMs" to steadyMs() - startedAtMs,
+            "tookMs" to steadyMs() - requestedAtMs,
         )
         delay(POLL_INTERVAL_MS)
         ended.complete(Unit)
--- a/entry/src/main/kotlin/io/daisybend/entry/ProcessSignals.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/ProcessSignals.kt
@@ -4,6 +4,7 @@
  */
 package io.daisybend.entry
 
+import io.daisybend.serving.site.SystemClockPair
 import sun.misc.Signal
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -15,6 +16,11 @@
     private var onHangup: (() -> Unit)? = null
     private var isHangupPending = false
 
+    /** When the stop was requested, in milliseconds of the monotonic clock, or null before it. */
+    @Volatile
+    var stopRequestedAtMs: Long? = null
+        private set
+
     val isStopRequested: Boolean get() = stopRequested.count == 0L
 
     /** Waits until a stop is requested, for [timeoutMs] at most if that is not 0; returns whether it is. */
@@ -33,6 +39,11 @@
         if (isDue) action()
     }
 
+    private fun requestStop() {
+        synchronized(lock) { if (stopRequestedAtMs == null) stopRequestedAtMs = SystemClockPair.read().steadyMs }
+        stopRequested.countDown()
+    }
+
     private fun hangUp() {
         val action = synchronized(lock) {
             isHangupPending = onHangup == null
@@ -44,7 +55,7 @@
     companion object {
         /** Handles the signals of this process from now on. */
         fun install(): ProcessSignals = ProcessSignals().apply {
-            Signal.handle(Signal("TERM")) { stopRequested.countDown() }
+            Signal.handle(Signal("TERM")) { requestStop() }
             Signal.handle(Signal("HUP")) { hangUp() }
         }
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/StopDurationTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/StopDurationTest.kt
@@ -3,6 +3,8 @@
 import io.daisybend.entry.standin.Behaviour
 import io.daisybend.entry.standin.EntryProcess
 import io.daisybend.entry.standin.withProcessSite
+import io.daisybend.entry.standin.withSite
+import io.daisybend.serving.site.SystemClockPair
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
@@ -18,6 +20,10 @@
 
 private const val GRACE_MS = 8_000L
 private const val EXIT_TIMEOUT_MS = 2 * GRACE_MS
+private const val SHORT_GRACE_MS = 3_000L
+
+/** Time from a request to stop until the VM has started and can begin to stop, in milliseconds. */
+private const val LATE_MS = 1_500L
 
 /** Processes that are stopped at once. */
 private const val STOPS = 3
@@ -56,4 +62,17 @@
             }
         }
     }
+
+    // The grace period counted from the end of the start: a process still ran 8 s after SIGTERM and would be killed.
+    test("a stop that is requested while the VM still starts ends within the grace period since the request") {
+        withSite("bounds.graceS=${SHORT_GRACE_MS / 1_000}") {
+            configure()
+            queueForAll(Behaviour.HANG)
+            connect().send("POST", "/once/x", "call")
+            eventually(2.seconds) { ran shouldHaveSize 1 }
+            val requestedAtMs = SystemClockPair.read().steadyMs - LATE_MS
+            vm.stop(requestedAtMs)
+            SystemClockPair.read().steadyMs - requestedAtMs shouldBeLessThan SHORT_GRACE_MS
+        }
+    }
 })
