--- a/serving/src/test/kotlin/io/daisybend/serving/quarantine/SimulatedPromptFleet.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/quarantine/SimulatedPromptFleet.kt
@@ -36,21 +36,12 @@
         val incarnation get() = Incarnation("engine-$index", bornMs)
     }
 
-    private inner class Vm(val index: Int) {
-        var quarantine = newQuarantine()
-        var lastReportMs = 0L
-        var wantsReport = false
-        var cutUntilMs = 0L
-
-        fun newQuarantine() = CrashQuarantine(
-            rankOf = { key -> (index - key.hashCode()).mod(settings.vmCount) },
-            requestEarlyReport = { wantsReport = true },
-        )
-    }
-
-    private val vms = List(settings.vmCount) { Vm(it) }
+    private val peers = SimulatedPeers(
+        random,
+        PeerSettings(settings.vmCount, settings.reportIntervalMs, settings.earlyPauseMs, settings.lossPercent),
+    )
+    private val vms get() = peers.vms
     private val engines = List(settings.engineCount) { Engine(it) }
-    private val store = LinkedHashMap<Incarnation, Pair<Long, EngineEnd>>()
     private var nowMs = 0L
 
     /** Times at which engines ended under the deadly part. */
@@ -70,7 +61,7 @@
             disturb()
             if (random.nextDouble() < settings.requestsPerSecond * STEP_MS / 1_000) arrive()
             engines.forEach(::run)
-            vms.filter { isDue(it) }.forEach(::report)
+            peers.report(nowMs)
         }
         return this
     }
@@ -83,21 +74,12 @@
 
     private fun disturb() {
         if (happens(settings.otherEndsEveryMs)) end(engines.random(random))
-        if (happens(settings.restartsEveryMs)) restart(vms.random(random))
-        if (happens(settings.cutsEveryMs)) {
-            val untilMs = nowMs + random.nextLong(500, 6_000)
-            vms.filter { random.nextInt(3) == 0 }.forEach { it.cutUntilMs = untilMs }
-        }
+        if (happens(settings.restartsEveryMs)) peers.restartAny(nowMs)
+        if (happens(settings.cutsEveryMs)) peers.cutSome(nowMs)
     }
 
     private fun happens(everyMs: Int) = everyMs < Int.MAX_VALUE && random.nextInt(everyMs / STEP_MS.toInt()) == 0
 
-    private fun restart(vm: Vm) {
-        vm.quarantine = vm.newQuarantine()
-        val kept = store.values.map { (atMs, end) -> end.copy(agoMs = nowMs - atMs) }
-        vm.quarantine.onEvidence(CrashEvidence(kept), nowMs)
-    }
-
     private fun arrive() {
         val vm = vms.random(random)
         val isDeadly = nowMs < settings.deadlyUntilMs && random.nextDouble() < settings.deadlyShare
@@ -112,7 +94,7 @@
         vm.quarantine.onSent(parts, nowMs)
         if (isDeadly && vm.cutUntilMs < nowMs) deadlySendsMs.add(nowMs)
         val startsAtMs = nowMs + random.nextLong(150, 500)
-        engine.running.add(Request(vm.index, parts, startsAtMs, startsAtMs + random.nextLong(20, 60)))
+        engine.running.add(Request(vms.indexOf(vm), parts, startsAtMs, startsAtMs + random.nextLong(20, 60)))
     }
 
     private fun run(engine: Engine) {
@@ -133,36 +115,13 @@
         val hardlyAnswered = engine.running.filter { it.provenAtMs > nowMs }.groupBy { it.vm }
         hardlyAnswered.forEach { (vm, requests) ->
             val suspects = requests.map { SuspectRequest(it.parts, hasStarted = it.startsAtMs <= nowMs) }
-            vms[vm].quarantine.onEngineEnded(engine.incarnation, suspects, nowMs, nowMs)
-            keep(vms[vm])
+            peers.onEngineEnded(vms[vm], engine.incarnation, suspects, nowMs)
         }
         engine.running.clear()
         engine.bornMs = nowMs + BACK_MS
         engine.backAtMs = nowMs + BACK_MS
     }
 
-    private fun keep(vm: Vm) = vm.quarantine.ownQuarantinedEnds(nowMs).forEach {
-        store[it.engine] =
-            nowMs - it.agoMs to it
-    }
-
-    private fun isDue(vm: Vm) = nowMs - vm.lastReportMs >=
-        if (vm.wantsReport) settings.earlyPauseMs else settings.reportIntervalMs
-
-    private fun report(vm: Vm) {
-        vm.lastReportMs = nowMs
-        vm.wantsReport = false
-        val changes = vm.quarantine.reportChanges(nowMs)
-        vms.filter { it !== vm && it.cutUntilMs < nowMs && vm.cutUntilMs < nowMs }
-            .filter { random.nextInt(100) >= settings.lossPercent }
-            .forEach {
-                // A VM that was cut off or restarted gets all evidence once it is heard again.
-                val isUninformed = nowMs - it.cutUntilMs < 2 * settings.reportIntervalMs
-                it.quarantine.onEvidence(if (isUninformed) vm.quarantine.evidence(nowMs) else changes, nowMs)
-                keep(it)
-            }
-    }
-
     companion object {
         const val DEADLY_PART = "deadly"
         private const val STEP_MS = 10L
--- a/serving/src/test/kotlin/io/daisybend/serving/quarantine/SimulatedRequestFleet.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/quarantine/SimulatedRequestFleet.kt
@@ -50,21 +50,12 @@
         val incarnation get() = Incarnation("engine-$index", bornMs)
     }
 
-    private inner class Vm(val index: Int) {
-        var quarantine = newQuarantine()
-        var lastReportMs = 0L
-        var wantsReport = false
-        var cutUntilMs = 0L
-
-        fun newQuarantine() = CrashQuarantine(
-            rankOf = { key -> (index - key.hashCode()).mod(settings.vmCount) },
-            requestEarlyReport = { wantsReport = true },
-        )
-    }
-
-    private val vms = List(settings.vmCount) { Vm(it) }
+    private val peers = SimulatedPeers(
+        random,
+        PeerSettings(settings.vmCount, settings.reportIntervalMs, settings.earlyPauseMs, settings.lossPercent),
+    )
+    private val vms get() = peers.vms
     private val engines = List(settings.engineCount) { Engine(it) }
-    private val store = LinkedHashMap<Incarnation, Pair<Long, EngineEnd>>()
     private val arrivals = ArrayList<Arrival>()
     private var nowMs = 0L
     private var nextCrashingAtMs = 0L
@@ -88,7 +79,7 @@
             disturb()
             arrive()
             engines.forEach(::run)
-            vms.filter(::isDue).forEach(::report)
+            peers.report(nowMs)
         }
         return this
     }
@@ -102,21 +93,12 @@
     private fun disturb() {
         if (happens(settings.otherEndsEveryMs)) end(engines.random(random))
         if (happens(settings.rackEndsEveryMs)) engines.filter { it.index % 3 == 0 }.forEach(::end)
-        if (happens(settings.restartsEveryMs)) restart(vms.random(random))
-        if (happens(settings.cutsEveryMs)) {
-            val untilMs = nowMs + random.nextLong(500, 6_000)
-            vms.filter { random.nextInt(3) == 0 }.forEach { it.cutUntilMs = untilMs }
-        }
+        if (happens(settings.restartsEveryMs)) peers.restartAny(nowMs)
+        if (happens(settings.cutsEveryMs)) peers.cutSome(nowMs)
     }
 
     private fun happens(everyMs: Int) = everyMs < Int.MAX_VALUE && random.nextInt(everyMs / STEP_MS.toInt()) == 0
 
-    private fun restart(vm: Vm) {
-        vm.quarantine = vm.newQuarantine()
-        val kept = store.values.map { (atMs, end) -> end.copy(agoMs = nowMs - atMs) }
-        vm.quarantine.onEvidence(CrashEvidence(kept), nowMs)
-    }
-
     private fun arrive() {
         if (settings.crashingEveryMs < Int.MAX_VALUE && nowMs >= nextCrashingAtMs) {
             nextCrashingAtMs = nowMs + random.nextLong(settings.crashingEveryMs / 2L, settings.crashingEveryMs * 3L / 2)
@@ -177,8 +159,7 @@
         engine.running.clear()
         struck.groupBy { it.vm }.forEach { (vm, requests) ->
             val suspects = requests.map { SuspectRequest(listOf(it.part), hasStarted = false) }
-            vms[vm].quarantine.onEngineEnded(engine.incarnation, suspects, nowMs, nowMs)
-            keep(vms[vm])
+            peers.onEngineEnded(vms[vm], engine.incarnation, suspects, nowMs)
         }
         engine.bornMs = nowMs + BACK_MS
         engine.backAtMs = nowMs + BACK_MS
@@ -193,26 +174,6 @@
         send(request.copy(attemptsLeft = request.attemptsLeft - 1))
     }
 
-    private fun keep(vm: Vm) = vm.quarantine.ownQuarantinedEnds(nowMs).forEach {
-        store[it.engine] = nowMs - it.agoMs to it
-    }
-
-    private fun isDue(vm: Vm) = nowMs - vm.lastReportMs >=
-        if (vm.wantsReport) settings.earlyPauseMs else settings.reportIntervalMs
-
-    private fun report(vm: Vm) {
-        vm.lastReportMs = nowMs
-        vm.wantsReport = false
-        val changes = vm.quarantine.reportChanges(nowMs)
-        vms.filter { it !== vm && it.cutUntilMs < nowMs && vm.cutUntilMs < nowMs }
-            .filter { random.nextInt(100) >= settings.lossPercent }
-            .forEach {
-                val isUninformed = nowMs - it.cutUntilMs < 2 * settings.reportIntervalMs
-                it.quarantine.onEvidence(if (isUninformed) vm.quarantine.evidence(nowMs) else changes, nowMs)
-                keep(it)
-            }
-    }
-
     private companion object {
         fun fingerprint(name: String) = RequestFingerprint.ofHash(name).part
 
