--- a/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
@@ -35,11 +35,12 @@
     private val marginMs = minOf(END_MS + STALLS_MS, graceMs / 6).coerceAtLeast(END_MS)
 
     /**
-     * Keeps accepting requests for [ACCEPT_WHILE_STOPPING_MS] from [requestedAtMs] on, which may have passed while the
-     * VM still started, but for no more than a third of the grace period, so that cached addresses expire (all do if the grace period is longer than 6 s). Then closes the listening socket
+     * Keeps accepting requests for [ACCEPT_WHILE_STOPPING_MS], but for no more than a third of the grace period, so
+     * that cached addresses expire (all do if the grace period is longer than 6 s). Then closes the listening socket
      * with [closeListener] and waits for the requests that arrived by then, and until callers have read their answers,
      * at most until [marginMs] before the end of the grace period; later requests are refused as not run. Requests
-     * without a response are then answered with whether they may have run. Later calls wait for the end of the first.
+     * without a response are then answered with whether they may have run. All times count from [requestedAtMs], which
+     * is well before this call if the VM was still starting. Later calls wait for the end of the first.
      */
     suspend fun run(requestedAtMs: Long, closeListener: suspend () -> Unit) {
         val endsAtMs = requestedAtMs + graceMs - marginMs
