Break off an unframed answer that ends before its request was sent

Callers could get the first part of an answer as a whole one: an engine answers a long upload at once with a 200 without a length, sends a part and resets while the upload is being written. The system reports a reset once. Where the writer got the report, the reader saw an orderly end, which completes such an answer. Ruled out: asking the writer at the end. Ktor's output channel accepts up to 1 MiB before the socket takes it, so a finished write proved nothing. Change: SocketOutput writes to the socket's channel and returns when the system has taken all bytes; the end of the connection completes an unframed answer only after that.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -15,7 +15,6 @@
 import io.daisybend.entry.http.encodeHead
 import io.daisybend.entry.http.parseResponseHead
 import io.daisybend.entry.http.readHeadLines
-import io.daisybend.entry.http.writeAll
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.Header
 import io.daisybend.platform.SendHeaders
@@ -25,8 +24,9 @@
 import io.daisybend.serving.endpoint.Endpoint
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.launch
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
 import java.io.IOException
 
 /** A request whose body was read completely. */
@@ -62,11 +62,16 @@
     private val connectionPool: ConnectionPool,
     private val connection: Connection,
     private val head: ResponseHead,
-    private val writeJob: Job,
+    private val writeJob: Deferred<Boolean>,
 ) {
-    val body = BodyReader(connection.source, head.framing)
+    // An endpoint may answer, and reset the connection, before it has read the request; the reader may then see an
+    // orderly end, which completes a response only once the whole request was sent.
+    val body = BodyReader(connection.source, head.framing, mayEndWithConnection = ::isRequestSent)
     private var hasEnded = false
 
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun isRequestSent() = writeJob.isCompleted && !writeJob.isCancelled && writeJob.getCompleted()
+
     /**
      * Ends the exchange; returns the connection to the pool if request and response are complete, otherwise closes it.
      * Later calls have no effect: the connection may belong to another exchange by then.
@@ -74,7 +79,7 @@
     fun finish() {
         if (hasEnded) return
         hasEnded = true
-        val isReusable = body.isComplete && writeJob.isCompleted && !writeJob.isCancelled && head.keepAlive
+        val isReusable = body.isComplete && isRequestSent() && head.keepAlive
         if (isReusable) connectionPool.release(connection, head.keepAliveMs) else close()
     }
 
@@ -123,7 +128,7 @@
         connection.close()
         return SendStart.NotSent("the endpoint wants no requests", isWithheld = true)
     }
-    val writeJob = scope.launch { writeRequest(connection, request, headers) }
+    val writeJob = scope.async { writeRequest(connection, request, headers) }
     return try {
         readResponseHead(connectionPool, connection, request, writeJob, guard)
     } catch (cancelled: CancellationException) {
@@ -138,7 +143,7 @@
 
 private fun abandon(
     connection: Connection,
-    writeJob: Job,
+    writeJob: Deferred<Boolean>,
     reason: String,
     connectionEnded: Boolean = false,
 ): SendStart {
@@ -147,19 +152,21 @@
     return SendStart.NoResponse(reason, connectionEnded)
 }
 
-private suspend fun writeRequest(connection: Connection, request: BufferedRequest, send: SendHeaders) {
+/** Writes [request]; returns false if the connection broke before the whole request was sent. */
+private suspend fun writeRequest(connection: Connection, request: BufferedRequest, send: SendHeaders): Boolean {
     val head = request.head
     val hasBody = request.body.isNotEmpty() || head.method !in methodsWithoutBody
     val lengthHeader = if (hasBody) listOf(Header("Content-Length", request.body.size.toString())) else emptyList()
     val bytes =
         encodeHead("${head.method} ${head.target} HTTP/1.1", headersForEndpoint(head.headers, send) + lengthHeader)
-    try {
+    return try {
         connection.sink.writeAll(bytes, request.body)
+        true
     } catch (cancelled: CancellationException) {
         throw cancelled
     } catch (expectedBreak: IOException) {
         // The reader determines whether a response arrived before the connection broke.
-        return
+        false
     }
 }
 
@@ -167,7 +174,7 @@
     pool: ConnectionPool,
     connection: Connection,
     request: BufferedRequest,
-    writeJob: Job,
+    writeJob: Deferred<Boolean>,
     guard: SendGuard,
 ): SendStart {
     // A refusal without an id may answer an earlier request of a kept connection.
--- a/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
@@ -3,8 +3,15 @@
  */
 package io.daisybend.entry.http
 
-/** Reads a body with [framing] from [source]. */
-internal class BodyReader(private val source: ByteSource, private val framing: BodyFraming) {
+/**
+ * Reads a body with [framing] from [source]. The end of the connection ends a body without a length or chunks only if
+ * [mayEndWithConnection] returns true then.
+ */
+internal class BodyReader(
+    private val source: ByteSource,
+    private val framing: BodyFraming,
+    private val mayEndWithConnection: () -> Boolean = { true },
+) {
     private var remainingBytes: Long = (framing as? BodyFraming.Length)?.bytes ?: 0L
     private var isInsideChunk = false
 
@@ -35,6 +42,7 @@
 
     private suspend fun readUntilClose(): ByteArray? {
         if (source.buffered == 0 && !source.fill()) {
+            if (!mayEndWithConnection()) throw ConnectionBrokenException(null)
             isComplete = true
             return null
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -11,22 +11,17 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.utils.io.ByteChannel
-import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 
 /** An open connection. */
-internal class Connection(private val socket: Socket, val address: SocketAddress) {
+internal class Connection(private val socket: Socket, selector: SelectorManager, val address: SocketAddress) {
     /** Bytes received from the peer. */
     val source = ByteSource(socket.openReadChannel())
 
-    private val output = ByteChannel()
-    private val outputJob = socket.attachForWriting(output).job
-
-    /** Channel for bytes to the peer. */
-    val sink: ByteWriteChannel get() = output
+    /** Output to the peer. */
+    val sink = SocketOutput(socket as Selectable, selector)
 
     /** Whether the connection was returned to the pool before. */
     var wasUsed: Boolean = false
@@ -39,7 +34,6 @@
      * cancellation.
      */
     fun close() {
-        outputJob.cancel()
         socket.close()
         // The socket alone keeps its channel open until the peer has read the rest.
         (socket as Selectable).channel.close()
@@ -69,7 +63,7 @@
                 noDelay = true
                 keepAlive = true
             }
-            Connection(socket, address)
+            Connection(socket, selector, address)
         }
     } catch (cancelled: CancellationException) {
         throw cancelled
