Settle what is withheld for silent peers and average the levels of team buckets

Cause: a copy caps its refill at the burst while the use of silent or frozen peers is still unknown, and then deducts that use as a whole.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -474,6 +474,7 @@
             },
             isPeerOlder,
             now,
+            report.uptimeMs,
         )
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
@@ -94,6 +94,8 @@
             unreachableShare = unreachable.size / vmCount.toDouble(),
             lostShare = unreachable.count { it.report != null } / vmCount.toDouble(),
             detectionMs = timeoutMs,
+            unreachableVms = unreachable.mapTo(HashSet()) { it.vm },
+            lostVms = unreachable.filter { it.report != null }.mapTo(HashSet()) { it.vm },
         )
     }
 
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/LimiterFleet.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/LimiterFleet.kt
@@ -139,7 +139,7 @@
         }
         val isOlder = report.uptimeMs > nowMs - vm.startedAtMs + OLDER_PEER_MARGIN_MS
         val uses = report.teams.associate { it.team to BucketUse(it.admitted, it.level) }
-        vm.limiter.onPeerUsage(report.vm, report.startedAtMs, uses, isOlder, nowMs)
+        vm.limiter.onPeerUsage(report.vm, report.startedAtMs, uses, isOlder, nowMs, report.uptimeMs)
     }
 
     private fun maintain(vm: Vm) {
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/TeamLimitsAtScaleTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/TeamLimitsAtScaleTest.kt
@@ -16,16 +16,21 @@
             ),
         )
     }
+    fun slot(vm: Int, slot: Long) = ((vm * 7919L + slot * 104_729L) * 2_654_435_761L ushr 7) and 0xffff
+
     test("diagnosis") {
-        val none: (FleetContact) -> FleetContact = { it }
-        for (burst in listOf(70_000.0, 564_731.0)) for (restart in listOf(0L, 2_000L)) for (loss in listOf(0, 5)) {
-            for ((name, adjust) in listOf<Pair<String, (FleetContact) -> FleetContact>>(
-                "as is" to none,
-                "no withdrawal" to { it.copy(lostShare = 0.0) },
-                "no reserve" to { it.copy(unreachableShare = 0.0) },
-                "neither" to { it.copy(lostShare = 0.0, unreachableShare = 0.0) },
-            )) {
-                print("burst $burst restart $restart loss $loss $name", LimiterFleet(1, burst = burst, restartEveryMs = restart, lossPercent = loss, adjustContact = adjust).run(60_000, 10_000))
+        for (burst in listOf(70_000.0, 564_731.0)) {
+            print("plain $burst", LimiterFleet(1, burst = burst, restartEveryMs = 2_000).run(60_000, 10_000))
+            print("freeze 2 s", LimiterFleet(1, burst = burst, restartEveryMs = 2_000, isFrozen = { vm, now -> slot(vm, now / 2_000) < 13_107 }).run(50_000, 10_000))
+            print("domain cut", LimiterFleet(1, burst = burst, restartEveryMs = 2_000, canReach = { a, b, now -> now % 20_000 > 5_000 || (a < 25) == (b < 25) }).run(60_000, 10_000))
+            print("peak", LimiterFleet(1, burst = burst, restartEveryMs = 2_000, loadFactor = { if (it % 20_000 in 12_000..15_000) 2.0 else 0.8 }).run(50_000, 10_000))
+            for (load in listOf(1.5, 7.5)) {
+                print("steady load $load", LimiterFleet(1, burst = burst, restartEveryMs = 2_000, loadFactor = { load }).run(20_000, 10_000))
+                print("sudden load $load", LimiterFleet(1, burst = burst, restartEveryMs = 2_000, loadFactor = { if (it < 15_000) 0.1 else load }).run(26_000, 10_000))
+                print("halves load $load", LimiterFleet(1, burst = burst, loadFactor = { if (it < 8_000) 0.3 else load }, canReach = { a, b, now -> now !in 5_000..25_000 || (a < 37) == (b < 37) }).run(36_000, 8_000))
+                print("singles load $load", LimiterFleet(1, burst = burst, loadFactor = { if (it < 23_000) 0.3 else load }, canReach = { a, b, now -> now !in 5_000..25_000 }).run(36_000, 8_000))
+                print("all restart load $load", LimiterFleet(1, burst = burst, loadFactor = { load }, restartsAll = { it == 6_000L }).run(20_000, 8_000))
+                print("frozen load $load", LimiterFleet(1, burst = burst, loadFactor = { load }, isFrozen = { vm, now -> vm % 8 == 0 && now in 6_000..9_000 }).run(20_000, 8_000))
             }
         }
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedBuckets.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedBuckets.kt
@@ -8,9 +8,10 @@
 
 /**
  * The buckets of one VM; not thread-safe. If [countsFirstUse], the first report of a peer on a key is a use since the
- * bucket exists; otherwise it may be older and is not deducted.
+ * bucket exists; otherwise it may be older and is not deducted. If [reconciles], the copies of a bucket converge: what
+ * was withheld for a peer is settled when it is heard again, and the levels of peers in contact are averaged.
  */
-internal class SharedBuckets<K>(private val countsFirstUse: Boolean) {
+internal class SharedBuckets<K>(private val countsFirstUse: Boolean, private val reconciles: Boolean = false) {
     private class ReportedUse(var admitted: Double) {
         var reportsLeft = REPORTS_OF_A_CHANGE
     }
@@ -19,6 +20,11 @@
     private val usesByPeer = HashMap<String, HashMap<K, Double>>()
     private val keysWithAdoptedLevel = HashSet<K>()
     private val reportedUses = HashMap<K, ReportedUse>()
+    private val createdAtMs = HashMap<K, Long>()
+    private var contactAtMs: Long? = null
+
+    /** Share of the burst that is kept for peers out of contact. */
+    private val reservedBurstShare get() = if (reconciles) contact.unreachableShare else 0.0
 
     /** The contact with the peers; [setContact] replaces it. */
     var contact = FleetContact()
@@ -26,13 +32,14 @@
 
     /** Returns the bucket of [key] refilled up to [nowMs], or null. */
     fun find(key: K, nowMs: Long): SharedTokenBucket? =
-        buckets[key]?.also { it.refill(nowMs, contact.unreachableShare) }
+        buckets[key]?.also { it.refill(nowMs, contact.unreachableShare, reservedBurstShare) }
 
     /** Sets the limit of [key] from [nowMs] on; the bucket is created if it does not exist. */
     fun setLimit(key: K, ratePerSecond: Double, burst: Double, nowMs: Long) {
         val known = buckets[key]
         if (known == null) {
             buckets[key] = SharedTokenBucket(ratePerSecond, burst, nowMs)
+            createdAtMs[key] = nowMs
         } else {
             known.updateLimit(ratePerSecond, burst, nowMs)
         }
@@ -41,6 +48,7 @@
     /** Removes all buckets except those of [keys]. */
     fun retain(keys: Set<K>) {
         buckets.keys.retainAll(keys)
+        createdAtMs.keys.retainAll(keys)
         usesByPeer.values.forEach { it.keys.retainAll(keys) }
         keysWithAdoptedLevel.retainAll(keys)
         reportedUses.keys.retainAll(keys)
@@ -54,26 +62,66 @@
     /** Returns the use of [key] that no report contains yet. */
     fun unreported(key: K): Double = (buckets[key]?.netAdmitted ?: 0.0) - (reportedUses[key]?.admitted ?: 0.0)
 
-    /** Applies the [uses] that [peer], started at [peerStartedAtMs], reports. */
-    fun onPeerUse(peer: String, peerStartedAtMs: Long, uses: Map<K, BucketUse>, isPeerOlder: Boolean, nowMs: Long) {
+    /**
+     * Applies the [uses] that [peer], started at [peerStartedAtMs] and running for [peerUptimeMs], reports. All use of
+     * a process that started after the bucket was created is deducted.
+     */
+    fun onPeerUse(
+        peer: String,
+        peerStartedAtMs: Long,
+        uses: Map<K, BucketUse>,
+        isPeerOlder: Boolean,
+        nowMs: Long,
+        peerUptimeMs: Long = Long.MAX_VALUE,
+    ) {
         if (uses.isEmpty()) return
         val known = usesByPeer.getOrPut("$peer/$peerStartedAtMs") { HashMap() }
         uses.forEach { (key, use) ->
             val bucket = find(key, nowMs) ?: return@forEach
-            val before = known.put(key, use.admitted) ?: if (countsFirstUse) 0.0 else use.admitted
-            bucket.deductPeerUse(use.admitted - before)
-            if (isPeerOlder && keysWithAdoptedLevel.add(key)) bucket.adoptLevel(use.level)
+            val countsAll = countsFirstUse || nowMs - createdAtMs.getValue(key) > peerUptimeMs
+            val before = known.put(key, use.admitted) ?: if (countsAll) 0.0 else use.admitted
+            bucket.deductPeerUse(peer, use.admitted - before)
+            if (isPeerOlder && keysWithAdoptedLevel.add(key)) {
+                bucket.adoptLevel(use.level)
+            } else if (reconciles && peer !in contact.unreachableVms && peerUptimeMs > contact.detectionMs) {
+                bucket.approachLevel(use.level, (APPROACH_PER_ROUND / contact.vmCount).coerceAtMost(MAX_APPROACH))
+            }
         }
     }
 
     /** Applies the [contact] of this VM with its peers from [nowMs] on. */
     fun setContact(contact: FleetContact, nowMs: Long) {
-        val newlyLostShare = (contact.lostShare - this.contact.lostShare).coerceAtLeast(0.0)
-        buckets.values.forEach {
-            it.refill(nowMs, this.contact.unreachableShare)
-            it.withdrawRefill(newlyLostShare, contact.detectionMs)
+        val before = this.contact
+        val elapsedMs = nowMs - (contactAtMs ?: nowMs)
+        val share = 1.0 / contact.vmCount
+        // Without names, contact that is lost and gained by the same share at once is not seen.
+        val newlyLostShare = if (contact.lostVms.isEmpty()) {
+            (contact.lostShare - before.lostShare).coerceAtLeast(0.0)
+        } else {
+            (contact.lostVms - before.unreachableVms).size * share
+        }
+        buckets.values.forEach { bucket ->
+            bucket.refill(nowMs, before.unreachableShare, reservedBurstShare)
+            bucket.withdrawRefill(newlyLostShare, contact.detectionMs)
+            if (reconciles) reconcile(bucket, before, contact, elapsedMs, nowMs)
         }
         this.contact = contact
+        contactAtMs = nowMs
+    }
+
+    private fun reconcile(
+        bucket: SharedTokenBucket,
+        before: FleetContact,
+        contact: FleetContact,
+        elapsedMs: Long,
+        nowMs: Long,
+    ) {
+        val share = 1.0 / contact.vmCount
+        before.unreachableVms.forEach { bucket.reserve(it, share, elapsedMs, nowMs) }
+        (contact.lostVms - before.unreachableVms).forEach { bucket.reserve(it, share, contact.detectionMs, nowMs) }
+        (before.unreachableVms - contact.unreachableVms).forEach {
+            bucket.release(it, share, SHORT_ABSENCE_DETECTIONS * contact.detectionMs, nowMs)
+        }
     }
 
     /** Returns the use of all buckets on this VM, for a peer that may know none of it. */
@@ -100,5 +148,15 @@
     private companion object {
         /** Number of successive reports that contain a change. */
         const val REPORTS_OF_A_CHANGE = 3
+
+        /**
+         * Sum of the weights of the peers' levels in one round of reports: copies are together after about half an
+         * interval, and one copy that is wrong moves the others by little.
+         */
+        const val APPROACH_PER_ROUND = 2.0
+        const val MAX_APPROACH = 0.25
+
+        /** An absence of up to this many detection times is short; what was withheld then is given back as a whole. */
+        const val SHORT_ABSENCE_DETECTIONS = 2
     }
 }
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
@@ -1,7 +1,9 @@
 /*
  * The token bucket of one team, shared by all VMs. Each VM keeps a copy of the whole bucket and deducts its own use at
  * once and the use of its peers when they report it. The refill excludes an equal share of the rate for each known peer
- * that is out of contact, so VMs that are cut off from each other do not exceed the rate of the team together.
+ * that is out of contact, so VMs that are cut off from each other do not exceed the rate of the team together. What is
+ * withheld for a peer is kept in an account: use that the peer reports later is taken from it first, and the rest is
+ * given back when the peer is in contact again.
  */
 package io.daisybend.serving.rates
 
@@ -10,6 +12,12 @@
     private var ratePerSecond = ratePerSecond
     private var burst = burst
     private var refilledAtMs = nowMs
+    private val reserves = HashMap<String, Reserve>()
+
+    /** Tokens withheld for a peer since [sinceMs]. */
+    private class Reserve(val sinceMs: Long) {
+        var amount = 0.0
+    }
 
     /** The tokens left; below zero after a request that cost more than was left. */
     public var level: Double = burst * INITIAL_LEVEL_SHARE
@@ -28,12 +36,16 @@
         level = level.coerceAtMost(burst)
     }
 
-    /** Refills the bucket up to [nowMs] at the rate less the [unreachableShare] reserved for peers out of contact. */
-    public fun refill(nowMs: Long, unreachableShare: Double) {
+    /**
+     * Refills the bucket up to [nowMs] at the rate less the [unreachableShare] reserved for peers out of contact, and
+     * up to the burst less [reservedBurstShare]: parts of a fleet that are cut off have one burst together.
+     */
+    public fun refill(nowMs: Long, unreachableShare: Double, reservedBurstShare: Double = 0.0) {
         val elapsedMs = (nowMs - refilledAtMs).coerceAtLeast(0)
         refilledAtMs = nowMs
         val share = (1.0 - unreachableShare).coerceIn(0.0, 1.0)
-        level = (level + ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND).coerceAtMost(burst)
+        val capacity = burst * (1.0 - reservedBurstShare).coerceIn(0.0, 1.0)
+        level = (level + ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND).coerceAtMost(capacity)
     }
 
     /** Admits a request of [cost] when any tokens are left; the level may fall below zero. */
@@ -60,14 +72,45 @@
         deductPeerUse(ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND)
     }
 
+    /** Adds the refill of [elapsedMs] for the [share] of [peer], which is withheld from [nowMs] on, to its account. */
+    public fun reserve(peer: String, share: Double, elapsedMs: Long, nowMs: Long) {
+        reserves.getOrPut(peer) { Reserve(nowMs) }.amount += ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND
+    }
+
+    /** Deducts the [amount] that [peer] has used since its last report, first from what is withheld for it. */
+    public fun deductPeerUse(peer: String, amount: Double) {
+        val reserve = reserves[peer]
+        val covered = if (reserve == null) 0.0 else amount.coerceIn(0.0, reserve.amount)
+        reserve?.let { it.amount -= covered }
+        deductPeerUse(amount - covered)
+    }
+
+    /**
+     * Gives back what is withheld for [peer], which is in contact at [nowMs]. After an absence of more than [shortMs]
+     * it is at most the peer's [share] of the burst, since a bucket that all VMs share had been full by then.
+     */
+    public fun release(peer: String, share: Double, shortMs: Long, nowMs: Long) {
+        val reserve = reserves.remove(peer) ?: return
+        val isShort = nowMs - reserve.sinceMs <= shortMs
+        level = (level + if (isShort) reserve.amount else minOf(reserve.amount, burst * share)).coerceAtMost(burst)
+    }
+
+    /** Moves the level by the [weight] towards [peerLevel], the level on a peer in contact. */
+    public fun approachLevel(peerLevel: Double, weight: Double) {
+        level = (level + (peerLevel - level) * weight).coerceAtMost(burst)
+    }
+
     /** Replaces the level with [peerLevel], the level on a VM that has run for longer. */
     public fun adoptLevel(peerLevel: Double) {
         level = peerLevel.coerceAtMost(burst)
+        reserves.values.forEach { it.amount = 0.0 }
     }
 
-    /** Returns the time until a request is admitted again, in milliseconds. */
-    public fun retryAfterMs(): Long =
-        if (level > 0 || ratePerSecond <= 0) 0 else ((-level / ratePerSecond) * MILLIS_PER_SECOND).toLong() + 1
+    /** Returns the time until a request is admitted again at the rate less [unreachableShare], in milliseconds. */
+    public fun retryAfterMs(unreachableShare: Double = 0.0): Long {
+        val usableRate = ratePerSecond * (1.0 - unreachableShare)
+        return if (level > 0 || usableRate <= 0) 0 else ((-level / usableRate) * MILLIS_PER_SECOND).toLong() + 1
+    }
 
     private companion object {
         const val MILLIS_PER_SECOND = 1000.0
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
@@ -15,6 +15,10 @@
     val lostShare: Double = 0.0,
     /** Time after which a silent peer counts as out of contact, in milliseconds. */
     val detectionMs: Long = 0,
+    /** Names of the VMs that are out of contact; those that stop are not. */
+    val unreachableVms: Set<String> = emptySet(),
+    /** Those of [unreachableVms] that were in contact before. */
+    val lostVms: Set<String> = emptySet(),
 )
 
 /** The decision of the rate limiter on a request. */
@@ -33,7 +37,7 @@
 public class TeamRateLimiter(private val requestEarlyReport: () -> Unit = {}) {
     private val lock = Any()
     private val teams = HashMap<String, Team>()
-    private val buckets = SharedBuckets<String>(countsFirstUse = false)
+    private val buckets = SharedBuckets<String>(countsFirstUse = false, reconciles = true)
 
     /** Applies the teams of a new configuration. */
     public fun configure(configured: List<Team>, nowMs: Long): Unit = synchronized(lock) {
@@ -50,7 +54,7 @@
         val cost = if (team.countsTokens) (tokens ?: team.plainTokens).toDouble() else 1.0
         val bucket = buckets.find(team.name, nowMs)
         if (team.ratePerSecond <= 0.0 || bucket == null) return RateDecision.Admitted(0.0)
-        if (!bucket.admit(cost)) return RateDecision.OverRate(bucket.retryAfterMs())
+        if (!bucket.admit(cost)) return RateDecision.OverRate(bucket.retryAfterMs(buckets.contact.unreachableShare))
         if (mustReportEarly(team, bucket)) requestEarlyReport()
         RateDecision.Admitted(cost)
     }
@@ -65,14 +69,15 @@
     /** Refunds the [cost] of a request of [team] that did not run. */
     public fun refund(team: String, cost: Double): Unit = synchronized(lock) { buckets.refund(team, cost) }
 
-    /** Applies the [uses] that [peer], started at [peerStartedAtMs], reports. */
+    /** Applies the [uses] that [peer], started at [peerStartedAtMs] and running for [peerUptimeMs], reports. */
     public fun onPeerUsage(
         peer: String,
         peerStartedAtMs: Long,
         uses: Map<String, BucketUse>,
         isPeerOlder: Boolean,
         nowMs: Long,
-    ): Unit = synchronized(lock) { buckets.onPeerUse(peer, peerStartedAtMs, uses, isPeerOlder, nowMs) }
+        peerUptimeMs: Long = Long.MAX_VALUE,
+    ): Unit = synchronized(lock) { buckets.onPeerUse(peer, peerStartedAtMs, uses, isPeerOlder, nowMs, peerUptimeMs) }
 
     /** Applies the [contact] of this VM with its peers from [nowMs] on. */
     public fun setContact(contact: FleetContact, nowMs: Long): Unit =
