--- a/entry/src/test/kotlin/io/daisybend/entry/peers/LimiterFleet.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/LimiterFleet.kt
@@ -31,6 +31,8 @@
     private val vmOfRequest: (Random, Long) -> Int = { random, _ -> random.nextInt(vmCount) },
     private val adjustContact: (FleetContact) -> FleetContact = { it },
 ) {
+    private val random = Random(seed)
+
     private class Message(val atMs: Long, val order: Long, val to: Int, val report: PeerReport)
 
     private inner class Vm(val index: Int) {
@@ -44,7 +46,7 @@
         var limiter = newLimiter()
 
         private fun newLimiter() =
-            TeamRateLimiter(requestEarlyReport = { wantsReport = true }).also { it.configure(listOf(team), nowMs) }
+            TeamRateLimiter(Random(random.nextLong()), requestEarlyReport = { wantsReport = true }).also { it.configure(listOf(team), nowMs) }
 
         fun start() {
             startedAtMs = nowMs
@@ -56,7 +58,6 @@
         }
     }
 
-    private val random = Random(seed)
     private val schedule = ReportSchedule(linkMbps = 70.0)
     private val team = Team("red", emptyList(), null, true, 1, rate, burst)
     private var nowMs = 0L
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedBuckets.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedBuckets.kt
@@ -22,6 +22,7 @@
     private val reportedUses = HashMap<K, ReportedUse>()
     private val createdAtMs = HashMap<K, Long>()
     private var contactAtMs: Long? = null
+    private val heardAtMs = HashMap<String, Long>()
 
     /** Share of the burst that is kept for peers out of contact. */
     private val reservedBurstShare get() = if (reconciles) contact.unreachableShare else 0.0
@@ -84,9 +85,16 @@
             if (isPeerOlder && keysWithAdoptedLevel.add(key)) {
                 bucket.adoptLevel(use.level)
             } else if (reconciles && peer !in contact.unreachableVms && peerUptimeMs > contact.detectionMs) {
-                bucket.approachLevel(use.level, (APPROACH_PER_ROUND / contact.vmCount).coerceAtMost(MAX_APPROACH))
+                bucket.approachLevel(use.level, approachWeight(nowMs - (heardAtMs[peer] ?: nowMs)), nowMs)
             }
         }
+        heardAtMs[peer] = nowMs
+    }
+
+    /** Returns the weight of a peer's level [elapsedMs] after its last one: early reports count for less. */
+    private fun approachWeight(elapsedMs: Long): Double {
+        val detectionMs = contact.detectionMs.coerceAtLeast(1)
+        return APPROACH_PER_DETECTION * elapsedMs.coerceAtMost(detectionMs) / detectionMs / contact.vmCount
     }
 
     /** Applies the [contact] of this VM with its peers from [nowMs] on. */
@@ -107,6 +115,7 @@
         }
         this.contact = contact
         contactAtMs = nowMs
+        heardAtMs.values.removeIf { nowMs - it > HEARD_EXPIRY_MS }
     }
 
     private fun reconcile(
@@ -150,13 +159,15 @@
         const val REPORTS_OF_A_CHANGE = 3
 
         /**
-         * Sum of the weights of the peers' levels in one round of reports: copies are together after about half an
-         * interval, and one copy that is wrong moves the others by little.
+         * Sum of the weights of all peers' levels in one detection time: a copy gets close to the others in a fraction
+         * of it, and one copy that is wrong moves the others by little.
          */
-        const val APPROACH_PER_ROUND = 2.0
-        const val MAX_APPROACH = 0.25
+        const val APPROACH_PER_DETECTION = 4.0
 
         /** An absence of up to this many detection times is short; what was withheld then is given back as a whole. */
         const val SHORT_ABSENCE_DETECTIONS = 2
+
+        /** Time after which a silent peer's last report is forgotten, in milliseconds. */
+        const val HEARD_EXPIRY_MS = 60_000L
     }
 }
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
@@ -7,11 +7,14 @@
  */
 package io.daisybend.serving.rates
 
+import kotlin.math.abs
+
 /** The copy of a team's token bucket on one VM; not thread-safe. */
 public class SharedTokenBucket(ratePerSecond: Double, burst: Double, nowMs: Long) {
     private var ratePerSecond = ratePerSecond
     private var burst = burst
     private var refilledAtMs = nowMs
+    private var approachedAtMs = nowMs
     private val reserves = HashMap<String, Reserve>()
 
     /** Tokens withheld for a peer since [sinceMs]. */
@@ -48,9 +51,9 @@
         level = (level + ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND).coerceAtMost(capacity)
     }
 
-    /** Admits a request of [cost] when any tokens are left; the level may fall below zero. */
-    public fun admit(cost: Double): Boolean {
-        if (level <= 0.0) return false
+    /** Admits a request of [cost] when more than [neededLevel] tokens are left; the level may fall below zero. */
+    public fun admit(cost: Double, neededLevel: Double = 0.0): Boolean {
+        if (level <= neededLevel) return false
         level -= cost
         netAdmitted += cost
         return true
@@ -64,7 +67,7 @@
 
     /** Deducts the [amount] that a peer has used since its last report; negative when the peer refunded more. */
     public fun deductPeerUse(amount: Double) {
-        level = (level - amount).coerceIn(-burst - ratePerSecond, burst)
+        level = (level - amount).coerceIn(-burst - ratePerSecond * MAX_DEBT_S, burst)
     }
 
     /** Withdraws what was refilled in the last [elapsedMs] for the [share] of the peers that were out of contact. */
@@ -95,9 +98,18 @@
         level = (level + if (isShort) reserve.amount else minOf(reserve.amount, burst * share)).coerceAtMost(burst)
     }
 
-    /** Moves the level by the [weight] towards [peerLevel], the level on a peer in contact. */
-    public fun approachLevel(peerLevel: Double, weight: Double) {
-        level = (level + (peerLevel - level) * weight).coerceAtMost(burst)
+    /**
+     * Moves the level towards [peerLevel], the level on a peer in contact, by the [weight] of what it differs beyond a
+     * tolerance. A level that falls fast is older and higher in a report, so the level rises only slowly by this.
+     */
+    public fun approachLevel(peerLevel: Double, weight: Double, nowMs: Long) {
+        val elapsedMs = (nowMs - approachedAtMs).coerceIn(0, MAX_APPROACH_ELAPSED_MS)
+        approachedAtMs = nowMs
+        val tolerance = ratePerSecond * APPROACH_TOLERANCE_MS / MILLIS_PER_SECOND
+        val difference = peerLevel - level
+        val excess = (abs(difference) - tolerance).coerceAtLeast(0.0) * weight
+        val largestRise = ratePerSecond * MAX_APPROACH_RISE * elapsedMs / MILLIS_PER_SECOND
+        level += if (difference > 0) excess.coerceAtMost(largestRise) else -excess
     }
 
     /** Replaces the level with [peerLevel], the level on a VM that has run for longer. */
@@ -106,10 +118,13 @@
         reserves.values.forEach { it.amount = 0.0 }
     }
 
-    /** Returns the time until a request is admitted again at the rate less [unreachableShare], in milliseconds. */
-    public fun retryAfterMs(unreachableShare: Double = 0.0): Long {
+    /**
+     * Returns the time until the level exceeds [neededLevel] at the rate less [unreachableShare], in milliseconds.
+     */
+    public fun retryAfterMs(unreachableShare: Double = 0.0, neededLevel: Double = 0.0): Long {
         val usableRate = ratePerSecond * (1.0 - unreachableShare)
-        return if (level > 0 || usableRate <= 0) 0 else ((-level / usableRate) * MILLIS_PER_SECOND).toLong() + 1
+        if (level > neededLevel || usableRate <= 0) return 0
+        return ((neededLevel - level) / usableRate * MILLIS_PER_SECOND).toLong() + 1
     }
 
     private companion object {
@@ -117,5 +132,18 @@
 
         /** Share of the burst at start, so that a fleet of restarted VMs does not spend the whole burst on each VM. */
         const val INITIAL_LEVEL_SHARE = 0.25
+
+        /**
+         * Refill beyond the burst that a copy owes at most, in seconds. With 1 s, VMs at 7.5 times the rate went below
+         * it in each round of reports, and the fleet exceeded its bound.
+         */
+        const val MAX_DEBT_S = 4.0
+
+        /** Copies may differ by the refill of this time, about the age of a level that arrives, in milliseconds. */
+        const val APPROACH_TOLERANCE_MS = 250.0
+
+        /** Largest rise of the level by averaging, as a share of the refill at the full rate. */
+        const val MAX_APPROACH_RISE = 1.0
+        const val MAX_APPROACH_ELAPSED_MS = 100L
     }
 }
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
@@ -4,6 +4,7 @@
 package io.daisybend.serving.rates
 
 import io.daisybend.serving.site.Team
+import kotlin.random.Random
 
 /** The contact of a VM with its peers. */
 public data class FleetContact(
@@ -34,9 +35,13 @@
  * The rate limits of all teams; thread-safe. Calls [requestEarlyReport] when the use admitted since the last report is
  * too large to wait for the next regular report.
  */
-public class TeamRateLimiter(private val requestEarlyReport: () -> Unit = {}) {
+public class TeamRateLimiter(
+    private val random: Random = Random.Default,
+    private val requestEarlyReport: () -> Unit = {},
+) {
     private val lock = Any()
     private val teams = HashMap<String, Team>()
+    private val neededLevels = HashMap<String, Double>()
     private val buckets = SharedBuckets<String>(countsFirstUse = false, reconciles = true)
 
     /** Applies the teams of a new configuration. */
@@ -47,6 +52,7 @@
             buckets.setLimit(team.name, team.ratePerSecond, team.burst, nowMs)
         }
         buckets.retain(teams.keys)
+        neededLevels.keys.retainAll(teams.keys)
     }
 
     /** Decides whether [team] may send a request with [tokens]; null when the request states no number of tokens. */
@@ -54,11 +60,27 @@
         val cost = if (team.countsTokens) (tokens ?: team.plainTokens).toDouble() else 1.0
         val bucket = buckets.find(team.name, nowMs)
         if (team.ratePerSecond <= 0.0 || bucket == null) return RateDecision.Admitted(0.0)
-        if (!bucket.admit(cost)) return RateDecision.OverRate(bucket.retryAfterMs(buckets.contact.unreachableShare))
+        val neededLevel = neededLevels.getOrDefault(team.name, 0.0)
+        if (!bucket.admit(cost, neededLevel)) {
+            val waitMs = bucket.retryAfterMs(buckets.contact.unreachableShare, neededLevel)
+            return RateDecision.OverRate(withJitter(waitMs))
+        }
+        neededLevels[team.name] = drawNeededLevel(team)
         if (mustReportEarly(team, bucket)) requestEarlyReport()
         RateDecision.Admitted(cost)
     }
 
+    /**
+     * Draws the level that the next request needs. In a large fleet all VMs would otherwise admit at once when the
+     * bucket has tokens again, and learn of each other's use only afterwards.
+     */
+    private fun drawNeededLevel(team: Team): Double =
+        if (buckets.contact.vmCount <= MAX_SMALL_FLEET) 0.0 else random.nextDouble() * team.burst * SPREAD_BURST_SHARE
+
+    /** Spreads the returns of rejected callers over half of their wait more. */
+    private fun withJitter(waitMs: Long): Long =
+        if (buckets.contact.vmCount <= 1) waitMs else waitMs + (waitMs * MAX_JITTER_SHARE * random.nextDouble()).toLong()
+
     private fun mustReportEarly(team: Team, bucket: SharedTokenBucket): Boolean {
         val contact = buckets.contact
         // With all peers in contact and much of the burst left, the use until the next reports can't exhaust it.
@@ -95,5 +117,12 @@
 
         /** Share of the burst below which use is reported at once. */
         const val EARLY_REPORT_LEVEL_SHARE = 0.75
+
+        /** Fleets up to this size report every 250 ms and need no spread of their requests. */
+        const val MAX_SMALL_FLEET = 16
+
+        /** Range of the levels that requests need, as a share of the burst. */
+        const val SPREAD_BURST_SHARE = 0.5
+        const val MAX_JITTER_SHARE = 0.5
     }
 }
