--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedBuckets.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedBuckets.kt
@@ -33,7 +33,12 @@
 
     /** Returns the bucket of [key] refilled up to [nowMs], or null. */
     fun find(key: K, nowMs: Long): SharedTokenBucket? =
-        buckets[key]?.also { it.refill(nowMs, contact.unreachableShare, reservedBurstShare) }
+        buckets[key]?.also { refill(it, nowMs) }
+
+    private fun refill(bucket: SharedTokenBucket, nowMs: Long) {
+        if (reconciles) bucket.withholdAfterStandstill(nowMs, 1.0 - 1.0 / contact.vmCount)
+        bucket.refill(nowMs, contact.unreachableShare, reservedBurstShare)
+    }
 
     /** Sets the limit of [key] from [nowMs] on; the bucket is created if it does not exist. */
     fun setLimit(key: K, ratePerSecond: Double, burst: Double, nowMs: Long) {
@@ -109,7 +114,7 @@
             (contact.lostVms - before.unreachableVms).size * share
         }
         buckets.values.forEach { bucket ->
-            bucket.refill(nowMs, before.unreachableShare, reservedBurstShare)
+            refill(bucket, nowMs)
             bucket.withdrawRefill(newlyLostShare, contact.detectionMs)
             if (reconciles) reconcile(bucket, before, contact, elapsedMs, nowMs)
         }
@@ -128,6 +133,9 @@
         val share = 1.0 / contact.vmCount
         before.unreachableVms.forEach { bucket.reserve(it, share, elapsedMs, nowMs) }
         (contact.lostVms - before.unreachableVms).forEach { bucket.reserve(it, share, contact.detectionMs, nowMs) }
+        val kept = (1.0 - contact.unreachableShare) / (1.0 - before.unreachableShare)
+        bucket.split(contact.unreachableVms - before.unreachableVms, kept.coerceAtMost(1.0), nowMs)
+        bucket.releaseAfterStandstill(nowMs)
         (before.unreachableVms - contact.unreachableVms).forEach {
             bucket.release(it, share, SHORT_ABSENCE_DETECTIONS * contact.detectionMs, nowMs)
         }
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/SharedTokenBucket.kt
@@ -51,6 +51,34 @@
         level = (level + ratePerSecond * share * elapsedMs / MILLIS_PER_SECOND).coerceAtMost(capacity)
     }
 
+    /**
+     * Withholds the refill up to [nowMs] for the [peerShare] of all peers if this VM has not run for long: their use in
+     * that time is not known yet, and without an account it would be deducted from a level that the burst capped.
+     */
+    public fun withholdAfterStandstill(nowMs: Long, peerShare: Double) {
+        val elapsedMs = nowMs - refilledAtMs
+        if (elapsedMs < STANDSTILL_MS) return
+        reserve(ANY_PEER, peerShare, elapsedMs, nowMs)
+        refill(nowMs, peerShare)
+    }
+
+    /** Gives back what is left of the refill withheld after a standstill, once the peers' reports have come. */
+    public fun releaseAfterStandstill(nowMs: Long) {
+        val reserve = reserves[ANY_PEER] ?: return
+        if (nowMs - reserve.sinceMs >= STANDSTILL_MS) release(ANY_PEER, 0.0, Long.MAX_VALUE, nowMs)
+    }
+
+    /**
+     * Leaves this VM the [keptShare] of the level, also of a debt, and the rest to the [peers], which lose contact with
+     * it at [nowMs]: the parts of a fleet have one level together.
+     */
+    public fun split(peers: Collection<String>, keptShare: Double, nowMs: Long) {
+        if (peers.isEmpty()) return
+        val given = level * (1.0 - keptShare)
+        level -= given
+        peers.forEach { reserves.getOrPut(it) { Reserve(nowMs) }.amount += given / peers.size }
+    }
+
     /** Admits a request of [cost] when more than [neededLevel] tokens are left; the level may fall below zero. */
     public fun admit(cost: Double, neededLevel: Double = 0.0): Boolean {
         if (level <= neededLevel) return false
@@ -82,8 +110,8 @@
 
     /** Deducts the [amount] that [peer] has used since its last report, first from what is withheld for it. */
     public fun deductPeerUse(peer: String, amount: Double) {
-        val reserve = reserves[peer]
-        val covered = if (reserve == null) 0.0 else amount.coerceIn(0.0, reserve.amount)
+        val reserve = reserves[peer] ?: reserves[ANY_PEER]
+        val covered = amount.coerceIn(0.0, (reserve?.amount ?: 0.0).coerceAtLeast(0.0))
         reserve?.let { it.amount -= covered }
         deductPeerUse(amount - covered)
     }
@@ -145,5 +173,11 @@
         /** Largest rise of the level by averaging, as a share of the refill at the full rate. */
         const val MAX_APPROACH_RISE = 1.0
         const val MAX_APPROACH_ELAPSED_MS = 100L
+
+        /** Time without a refill, which maintenance does each 200 ms, after which a VM has not run, in milliseconds. */
+        const val STANDSTILL_MS = 500L
+
+        /** Account for the use of all peers while this VM stood still. */
+        const val ANY_PEER = ""
     }
 }
--- a/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
@@ -60,7 +60,7 @@
         val cost = if (team.countsTokens) (tokens ?: team.plainTokens).toDouble() else 1.0
         val bucket = buckets.find(team.name, nowMs)
         if (team.ratePerSecond <= 0.0 || bucket == null) return RateDecision.Admitted(0.0)
-        val neededLevel = neededLevels.getOrDefault(team.name, 0.0)
+        val neededLevel = neededLevels.getOrDefault(team.name, 0.0) * (1.0 - buckets.contact.unreachableShare)
         if (!bucket.admit(cost, neededLevel)) {
             val waitMs = bucket.retryAfterMs(buckets.contact.unreachableShare, neededLevel)
             return RateDecision.OverRate(withJitter(waitMs))
