--- a/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
@@ -4,6 +4,7 @@
 package io.daisybend.serving.rates
 
 import io.daisybend.serving.site.Team
+import kotlin.random.Random
 
 /** The contact of a VM with its peers. */
 public data class FleetContact(
@@ -15,6 +16,10 @@
     val lostShare: Double = 0.0,
     /** Time after which a silent peer counts as out of contact, in milliseconds. */
     val detectionMs: Long = 0,
+    /** Names of the VMs that are out of contact; those that stop are not. */
+    val unreachableVms: Set<String> = emptySet(),
+    /** Those of [unreachableVms] that were in contact before. */
+    val lostVms: Set<String> = emptySet(),
 )
 
 /** The decision of the rate limiter on a request. */
@@ -30,10 +35,14 @@
  * The rate limits of all teams; thread-safe. Calls [requestEarlyReport] when the use admitted since the last report is
  * too large to wait for the next regular report.
  */
-public class TeamRateLimiter(private val requestEarlyReport: () -> Unit = {}) {
+public class TeamRateLimiter(
+    private val random: Random = Random.Default,
+    private val requestEarlyReport: () -> Unit = {},
+) {
     private val lock = Any()
     private val teams = HashMap<String, Team>()
-    private val buckets = SharedBuckets<String>(countsFirstUse = false)
+    private val neededLevels = HashMap<String, Double>()
+    private val buckets = SharedBuckets<String>(countsFirstUse = false, reconciles = true)
 
     /** Applies the teams of a new configuration. */
     public fun configure(configured: List<Team>, nowMs: Long): Unit = synchronized(lock) {
@@ -43,6 +52,7 @@
             buckets.setLimit(team.name, team.ratePerSecond, team.burst, nowMs)
         }
         buckets.retain(teams.keys)
+        neededLevels.keys.retainAll(teams.keys)
     }
 
     /** Decides whether [team] may send a request with [tokens]; null when the request states no number of tokens. */
@@ -50,11 +60,27 @@
         val cost = if (team.countsTokens) (tokens ?: team.plainTokens).toDouble() else 1.0
         val bucket = buckets.find(team.name, nowMs)
         if (team.ratePerSecond <= 0.0 || bucket == null) return RateDecision.Admitted(0.0)
-        if (!bucket.admit(cost)) return RateDecision.OverRate(bucket.retryAfterMs())
+        val neededLevel = neededLevels.getOrDefault(team.name, 0.0) * (1.0 - buckets.contact.unreachableShare)
+        if (!bucket.admit(cost, neededLevel)) {
+            val waitMs = bucket.retryAfterMs(buckets.contact.unreachableShare, neededLevel)
+            return RateDecision.OverRate(withJitter(waitMs))
+        }
+        neededLevels[team.name] = drawNeededLevel(team)
         if (mustReportEarly(team, bucket)) requestEarlyReport()
         RateDecision.Admitted(cost)
     }
 
+    /**
+     * Draws the level that the next request needs. In a large fleet all VMs would otherwise admit at once when the
+     * bucket has tokens again, and learn of each other's use only afterwards.
+     */
+    private fun drawNeededLevel(team: Team): Double =
+        if (buckets.contact.vmCount <= MAX_SMALL_FLEET) 0.0 else random.nextDouble() * team.burst * SPREAD_BURST_SHARE
+
+    /** Spreads the returns of rejected callers over half of their wait more. */
+    private fun withJitter(waitMs: Long): Long =
+        if (buckets.contact.vmCount <= 1) waitMs else waitMs + (waitMs * MAX_JITTER_SHARE * random.nextDouble()).toLong()
+
     private fun mustReportEarly(team: Team, bucket: SharedTokenBucket): Boolean {
         val contact = buckets.contact
         // With all peers in contact and much of the burst left, the use until the next reports can't exhaust it.
@@ -65,14 +91,15 @@
     /** Refunds the [cost] of a request of [team] that did not run. */
     public fun refund(team: String, cost: Double): Unit = synchronized(lock) { buckets.refund(team, cost) }
 
-    /** Applies the [uses] that [peer], started at [peerStartedAtMs], reports. */
+    /** Applies the [uses] that [peer], started at [peerStartedAtMs] and running for [peerUptimeMs], reports. */
     public fun onPeerUsage(
         peer: String,
         peerStartedAtMs: Long,
         uses: Map<String, BucketUse>,
         isPeerOlder: Boolean,
         nowMs: Long,
-    ): Unit = synchronized(lock) { buckets.onPeerUse(peer, peerStartedAtMs, uses, isPeerOlder, nowMs) }
+        peerUptimeMs: Long = Long.MAX_VALUE,
+    ): Unit = synchronized(lock) { buckets.onPeerUse(peer, peerStartedAtMs, uses, isPeerOlder, nowMs, peerUptimeMs) }
 
     /** Applies the [contact] of this VM with its peers from [nowMs] on. */
     public fun setContact(contact: FleetContact, nowMs: Long): Unit =
@@ -90,5 +117,12 @@
 
         /** Share of the burst below which use is reported at once. */
         const val EARLY_REPORT_LEVEL_SHARE = 0.75
+
+        /** Fleets up to this size report every 250 ms and need no spread of their requests. */
+        const val MAX_SMALL_FLEET = 16
+
+        /** Range of the levels that requests need, as a share of the burst. */
+        const val SPREAD_BURST_SHARE = 0.5
+        const val MAX_JITTER_SHARE = 0.5
     }
 }
