--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -37,6 +37,7 @@
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
 import io.daisybend.entry.store.QuarantineKeeper
+import io.daisybend.entry.store.StoreCallLog
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.platform.EngineClient
@@ -96,6 +97,7 @@
     private val connectionPool = ConnectionPool(selector, ::steadyMs)
     private val httpClient = PooledHttpClient(connectionPool)
     private val store = StoreClient(httpClient, settings.storeAddress)
+    private val storeCallLog = StoreCallLog(store.calls, metrics, log)
     private val table = EndpointTable()
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
@@ -202,7 +204,10 @@
         onBegun = ::reportSoon,
         // Another VM must wait for the handover gap before it sends orders, so this VM sends orders until it ends or
         // until its next process takes over.
-        onDrained = { leaseManager.releaseLease() },
+        onDrained = {
+            leaseManager.releaseLease()
+            storeCallLog.write()
+        },
     )
 
     /** Times of the last broadcasts to the peers; each change is contained in that many. */
@@ -257,6 +262,7 @@
         keepRunning("orders") { orderController.run(scope) }
         keepRunning("maintenance") { runMaintenance() }
         keepRunning("load-monitor") { load.run() }
+        keepRunning("store-call-log") { storeCallLog.run() }
         registerGauges()
         log.write("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerAddress.toString())
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
@@ -69,6 +69,18 @@
             .register(registry)
     }
 
+    /** Registers counters that call [values] on each scrape, which returns the value for each pair of label values. */
+    fun addCounters(
+        name: String,
+        help: String,
+        labels: Pair<String, String>,
+        values: () -> Map<Pair<String, String>, Double>,
+    ) {
+        CounterWithCallback.builder().name(name).help(help).labelNames(labels.first, labels.second)
+            .callback { callback -> values().forEach { (pair, value) -> callback.call(value, pair.first, pair.second) } }
+            .register(registry)
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     fun text(): String {
         val bytes = ByteArrayOutputStream()
