Derive the operators' long polls from the bounds in large fleets

Cause: each VM polled the operators' topic each 1.2 s, whatever the bounds. Ruled out: polls as long as the bound of withdrawn keys (3 s), with peers' hints of new versions, since a VM would then survive only half as long an outage of the store without refusing keys.

Change: above 16 VMs the poll is configApplyMs less two response timeouts and a margin, at most half of revokeMs; 1,500 ms at 3,000. A poll that was not answered is followed by a read at once, further ones after 250 to 450 ms. The ages for denials, candidates and the directory follow from the length. Fleets of up to 16 VMs keep 1,200 ms and 250 ms.

--- a/entry/src/main/kotlin/io/daisybend/entry/ControlHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/ControlHandler.kt
@@ -45,7 +45,9 @@
         val others = peers.aliveReports(now).filter { !it.stopping }
         val ownAgeMs = configuration.confirmationAgeMs()
         val lowestAgeMs = minOf(ownAgeMs, others.minOfOrNull { it.storeAgeMs } ?: Long.MAX_VALUE)
-        val maxAgeMs = maxOf(MAX_USABLE_AGE_MS, lowestAgeMs + MAX_USABLE_AGE_MS)
+        // When every VM's configuration is old, VMs are listed up to this much above the lowest age.
+        val usableAgeMs = configuration.times.maxUsableAgeMs
+        val maxAgeMs = maxOf(usableAgeMs, lowestAgeMs + usableAgeMs)
         val usable = others.filter { it.ready && it.storeAgeMs < maxAgeMs }
             .map { it.failureDomain to SocketAddress(it.host, it.callerPort) }
         val own = listOf(settings.failureDomain to settings.callerAddress)
@@ -70,12 +72,6 @@
         const val STATUS_UNAVAILABLE = 503
         const val METRICS_PATH = "/metrics"
 
-        /**
-         * Greatest age of the configuration at which the directory lists a VM, in milliseconds: two long polls. When
-         * every VM's configuration is old, VMs are listed up to this much above the lowest age.
-         */
-        const val MAX_USABLE_AGE_MS = 2_600L
-
         /**
          * How long callers may cache the addresses, in milliseconds. A stopping VM accepts requests for 2,500 ms, but
          * for no more than a third of the grace period (see [EntryVm.stop]). Addresses cached before the stop expire
--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -62,6 +62,8 @@
 import io.daisybend.serving.site.ClockPair
 import io.daisybend.serving.site.FreshnessSettings
 import io.daisybend.serving.site.RouteTable
+import io.daisybend.serving.site.StorePolling
+import io.daisybend.serving.site.StorePollingBounds
 import io.daisybend.serving.site.SystemClockPair
 import io.daisybend.serving.stream.StreamOrigins
 import io.ktor.network.selector.SelectorManager
@@ -119,7 +121,10 @@
         QuarantineKeeper(store, quarantine, fingerprinter, clocks, log) {
             peers.contact(steadyMs()).unreachableShare > 0.0
         }
-    private val configuration = ConfigurationWatcher(store, clocks, log, ::onConfigurationChanged)
+    private val storePolling =
+        StorePolling(StorePollingBounds(bounds.configApplyMs, bounds.revokeMs, bounds.drainMs))
+    private val configuration =
+        ConfigurationWatcher(store, clocks, log, storePolling, { peers.vmCount }, ::onConfigurationChanged)
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
     private val endpointWatcher =
         EndpointWatcher(store, clocks, table, log, load, streamOrigins, ::onEndpointsChanged)
@@ -161,7 +166,7 @@
         requestHandler,
         endpointPool,
         teamRateLimiter,
-        FreshnessSettings(maxKeyAgeMs = bounds.revokeMs - KEY_REVOCATION_MARGIN_MS, maxDenialAgeMs = MAX_DENIAL_AGE_MS),
+        { FreshnessSettings(bounds.revokeMs - KEY_REVOCATION_MARGIN_MS, configuration.times.maxDenialAgeMs) },
         bodyMemory,
         log,
         metrics,
@@ -388,9 +393,10 @@
      */
     private fun candidateRank(excluding: String? = null): Int? {
         if (stopState.isStopping && leaseManager.currentEpoch() == null) return null
-        if (configuration.confirmationAgeMs() > MAX_CANDIDATE_AGE_MS) return null
+        val maxAgeMs = configuration.times.maxUsableAgeMs
+        if (configuration.confirmationAgeMs() > maxAgeMs) return null
         val others = peers.aliveReports(steadyMs())
-            .filter { !it.stopping && it.storeAgeMs < MAX_CANDIDATE_AGE_MS && it.vm != excluding }
+            .filter { !it.stopping && it.storeAgeMs < maxAgeMs && it.vm != excluding }
             .map { it.vm }
         return rankByRendezvous("order-duty", others + settings.vm).indexOf(settings.vm)
     }
@@ -523,14 +529,6 @@
         /** Subtracted from the bound for withdrawn keys, in milliseconds: covers clock differences and slow threads. */
         const val KEY_REVOCATION_MARGIN_MS = 200L
 
-        /**
-         * Greatest age of the configuration at which an unknown key or route is denied, in milliseconds: one long poll.
-         */
-        const val MAX_DENIAL_AGE_MS = 1_900L
-
-        /** Greatest age of the configuration at which a VM is a candidate for the order duty, in milliseconds. */
-        const val MAX_CANDIDATE_AGE_MS = 2_600L
-
         /** Number of VMs that append a peer's renewal: more than one, since one may have lost the store itself. */
         const val MAX_RENEWING_PEERS = 2
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/CallerServer.kt
@@ -51,7 +51,7 @@
     private val requestHandler: RequestHandler,
     private val endpointPool: EndpointPool,
     private val teamRateLimiter: TeamRateLimiter,
-    private val freshness: FreshnessSettings,
+    private val freshness: () -> FreshnessSettings,
     private val bodyMemory: BodyMemory,
     private val log: EventLog,
     private val metrics: Metrics,
@@ -196,7 +196,7 @@
         val charged = table
             .admit(
                 Credentials(head.host, head.path, key),
-                freshness,
+                freshness(),
                 configuration.confirmationAgeMs(),
                 Random.nextDouble(),
                 isBoundTo = { service ->
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
@@ -18,14 +18,19 @@
 import io.daisybend.platform.readKeyedRecord
 import io.daisybend.serving.site.ClockPair
 import io.daisybend.serving.site.ClockReading
+import io.daisybend.serving.site.OperatorPollTimes
 import io.daisybend.serving.site.RouteTable
+import io.daisybend.serving.site.StorePolling
 import kotlinx.coroutines.delay
+import kotlin.random.Random
 
 /** Holds the newest configuration and the time at which the store last confirmed it. */
 internal class ConfigurationWatcher(
     private val store: StoreClient,
     private val clocks: ClockPair,
     private val log: EventLog,
+    private val polling: StorePolling,
+    private val vmCount: () -> Int,
     private val onChange: (RouteTable) -> Unit,
 ) {
     /** Route table of the configuration in force, or null before the first configuration. */
@@ -60,6 +65,9 @@
         log.write("configuration-newer-at-peer", "version" to version, "own" to table?.configuration?.version)
     }
 
+    /** The times of the long polls in a fleet of the current size. */
+    val times: OperatorPollTimes get() = polling.operatorTimes(vmCount())
+
     /** Returns the time since the configuration was last confirmed to be the newest, in milliseconds. */
     fun confirmationAgeMs(): Long =
         confirmedAt?.takeIf { ownVersion >= peerVersion }?.let { clocks.read().ageOf(it) } ?: Long.MAX_VALUE
@@ -69,24 +77,28 @@
         while (true) {
             val sentAt = clocks.read()
             val tableBefore = table
-            val failure = if (nextOffset == null) readSnapshot() else readUpdates(nextOffset ?: 0L)
+            val longPollMs = times.longPollMs
+            val failure = if (nextOffset == null) readSnapshot() else readUpdates(nextOffset ?: 0L, longPollMs)
+            val tookMs = clocks.read().steadyMs - sentAt.steadyMs
             if (failure == null) {
-                val isEmptyLongPoll = table === tableBefore && clocks.read().steadyMs - sentAt.steadyMs >= LONG_POLL_MS
-                confirmedAt = if (isEmptyLongPoll) sentAt.plus(LONG_POLL_MS) else sentAt
+                val isEmptyLongPoll = table === tableBefore && tookMs >= longPollMs
+                confirmedAt = if (isEmptyLongPoll) sentAt.plus(longPollMs) else sentAt
                 if (!isConnected) log.write("configuration-store-regained")
                 isConnected = true
             } else {
                 if (isConnected) log.write("configuration-store-lost", "reason" to failure.message)
+                // The bound for a new version leaves no time for a delay after a poll on a connection that went silent.
+                val isSilentPoll = isConnected && tookMs >= longPollMs && polling.isLargeFleet(vmCount())
                 isConnected = false
                 // The store may come back from an older copy, and a long poll would hide that while it waits.
                 nextOffset = null
-                delay(RETRY_INTERVAL_MS)
+                if (!isSilentPoll) delay(polling.retryDelayMs(vmCount(), Random))
             }
         }
     }
 
     private suspend fun readSnapshot(): StoreFailure? {
-        val newest = store.readNewest(StoreTopic.OPERATOR, RESPONSE_TIMEOUT_MS).getOrElse { return it }
+        val newest = store.readNewest(StoreTopic.OPERATOR, StorePolling.RESPONSE_TIMEOUT_MS).getOrElse { return it }
         if (era.follow()) {
             storeVersion = Long.MIN_VALUE
             log.write("configuration-store-restored", "era" to store.era)
@@ -96,8 +108,8 @@
         return null
     }
 
-    private suspend fun readUpdates(from: Long): StoreFailure? {
-        val result = store.read(StoreTopic.OPERATOR, from, LONG_POLL_MS, RESPONSE_TIMEOUT_MS)
+    private suspend fun readUpdates(from: Long, longPollMs: Long): StoreFailure? {
+        val result = store.read(StoreTopic.OPERATOR, from, longPollMs, StorePolling.RESPONSE_TIMEOUT_MS)
         // The offset is void in another era, and the records before it may have changed.
         if (era.hasChanged()) return readSnapshot()
         val read = result.getOrElse { failure ->
@@ -131,18 +143,4 @@
         )
         onChange(newTable)
     }
-
-    private companion object {
-        /**
-         * How long the store holds a poll without new records, in milliseconds: half of the bound for applying a new
-         * version.
-         */
-        const val LONG_POLL_MS = 1_200L
-
-        /** Timeout for a response beyond the long poll, in milliseconds: many times the store's usual response time. */
-        const val RESPONSE_TIMEOUT_MS = 700L
-
-        /** Delay between attempts while the store does not respond, in milliseconds. */
-        const val RETRY_INTERVAL_MS = 250L
-    }
 }
