Share reads of the endpoint list within failure domains of large fleets

Cause: each of 75 VMs read the list each 850 ms, more than a call a second. Ruled out: repeating records in several relays, since a reader's link carries 7 Mbit/s at least and the second reader repeats them anyway; taking the time of receipt for the time of sending, since a datagram may wait in the buffer of a VM that stood still or be sent late by one.

Change: above 16 VMs, two VMs of each failure domain read the list, half an interval apart, and pass new records on in reports to their domain. An entry that says the same as before is passed on without its value. The others apply them by offset, take the age from the reader's clock and the measured delay of the datagram, and read the list themselves at an age of 1,100 to 1,500 ms (by drainMs), after a gap, in a new era and after a standstill. While the watcher of the configuration gets no answers, the other loops wait for it.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -36,8 +36,10 @@
 import io.daisybend.entry.peers.toUses
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
+import io.daisybend.entry.store.ListSharing
 import io.daisybend.entry.store.QuarantineKeeper
 import io.daisybend.entry.store.StoreCallLog
+import io.daisybend.entry.store.StoreRetry
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.platform.EngineClient
@@ -52,6 +54,7 @@
 import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.endpoint.ListRelaySettings
 import io.daisybend.serving.quarantine.CrashEvidence
 import io.daisybend.serving.quarantine.CrashQuarantine
 import io.daisybend.serving.quarantine.Quarantine
@@ -126,8 +129,31 @@
     private val configuration =
         ConfigurationWatcher(store, clocks, log, storePolling, { peers.vmCount }, ::onConfigurationChanged)
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
+    private val storeRetry = StoreRetry(storePolling, { peers.vmCount }) { configuration.isStoreLost }
+    private val listSharing = ListSharing(
+        settings.vm,
+        settings.failureDomain,
+        settings.linkMbps,
+        peers,
+        storePolling,
+        log,
+        ::steadyMs,
+        isStopping = { stopState.isStopping },
+        peerLink = { peerLink },
+    )
     private val endpointWatcher =
-        EndpointWatcher(store, clocks, table, log, load, streamOrigins, ::onEndpointsChanged)
+        EndpointWatcher(
+            store,
+            clocks,
+            table,
+            log,
+            load,
+            streamOrigins,
+            listSharing,
+            ListRelaySettings.forDrain(bounds.drainMs),
+            storeRetry,
+            ::onEndpointsChanged,
+        )
     private val pauses = EndpointPauses()
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
@@ -223,6 +249,7 @@
         log,
         settings.vm,
         SocketAddress(settings.ip, settings.peerPort),
+        storeRetry,
         ::steadyMs,
     )
     private val sequence = AtomicLong()
@@ -319,6 +346,9 @@
                     leftMs / MILLIS_PER_SECOND
             }
         }
+        metrics.addCounters("daisybend_list_relays", "Received parts of the endpoint list", label = "use") {
+            endpointWatcher.relayCounts()
+        }
         metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.requestsInProgress.toDouble()
         }
@@ -421,9 +451,11 @@
             stopping = stopState.isStopping,
             storeAgeMs = configuration.confirmationAgeMs(),
             alivePeers = emptyList(),
-            teams = (if (isBroadcast) teamRateLimiter.reportChanges() else teamRateLimiter.usage()).map { (team, use) ->
-                TeamUseReport(team, use.admitted, use.level)
-            },
+            teams = when (purpose) {
+                ReportPurpose.BROADCAST -> teamRateLimiter.reportChanges()
+                ReportPurpose.COMPLETE, ReportPurpose.DEMAND, ReportPurpose.RELAY -> teamRateLimiter.usage()
+                ReportPurpose.RELAY -> emptyMap()
+            }.map { (team, use) -> TeamUseReport(team, use.admitted, use.level) },
             duty = leaseManager.newestRecord(),
             renewal = leaseManager.renewalToDelegate(),
             holdsDuty = leaseManager.currentEpoch() != null,
@@ -431,27 +463,31 @@
             queuedDemand = endpointPool.demand.queuedDemand(),
             requests = endpointPool.demand.requestCounts(peers.repeatWindowMs),
             holdings =
-            if (leaseManager.currentEpoch() != null) orderController.announcements(changedSinceMs) else emptyList(),
+            if (leaseManager.currentEpoch() != null && purpose != ReportPurpose.RELAY) {
+                orderController.announcements(changedSinceMs)
+            } else {
+                emptyList()
+            },
             prompts = when (purpose) {
                 ReportPurpose.BROADCAST -> quarantine.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> quarantine.evidence(now.steadyMs)
-                ReportPurpose.DEMAND -> CrashEvidence()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> CrashEvidence()
             }.toReport(),
             limits = when (purpose) {
                 ReportPurpose.BROADCAST -> endpointRateLimiter.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> endpointRateLimiter.uses(now.steadyMs)
-                ReportPurpose.DEMAND -> emptyMap()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyMap()
             }.toReports(),
             streams = when (purpose) {
                 ReportPurpose.BROADCAST -> streamOrigins.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> streamOrigins.reportAll(now.steadyMs)
-                ReportPurpose.DEMAND -> emptyList()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toStreamReports(),
             versionAheadOfStore = configuration.versionAheadOfStore,
             leaving = when (purpose) {
                 ReportPurpose.BROADCAST -> departures.reportChanges()
                 ReportPurpose.COMPLETE -> departures.reportAll()
-                ReportPurpose.DEMAND -> emptyList()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
         )
     }
@@ -466,6 +502,11 @@
 
     private fun onPeerReport(report: PeerReport) {
         val now = steadyMs()
+        // Records have offsets of their own, so a report that was overtaken still counts.
+        if (report.failureDomain == settings.failureDomain) {
+            val process = "${report.vm}@${report.startedAtMs}"
+            endpointWatcher.onPeerReport(process, report.uptimeMs, report.endpointRecords)
+        }
         when (peers.onReport(report, now)) {
             ReportEffect.OUTDATED -> return
             ReportEffect.UPDATED -> Unit
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -37,6 +37,9 @@
 
     /** Tells the holder of the order duty the changed demand. */
     DEMAND,
+
+    /** Passes on records of the list of endpoints. */
+    RELAY,
 }
 
 /** Exchanges reports with the peers by UDP. */
@@ -57,6 +60,9 @@
     /** Peers ignore a report that overtakes a later one, so reports are built and sent one after the other. */
     private val sending = Mutex()
 
+    @Volatile
+    private var boundSocket: BoundDatagramSocket? = null
+
     /** Sends a report to all peers before the next regular one is due. */
     fun reportSoon() {
         broadcastRequested.trySend(Unit)
@@ -72,9 +78,25 @@
         uninformedPeers.trySend(vm)
     }
 
+    /** Sends a report with each of [relays], which are called when it is built, to [recipients]. */
+    suspend fun relay(relays: List<() -> EndpointRelayReport>, recipients: List<Peer>) {
+        val socket = boundSocket ?: return
+        val (holders, others) = recipients.partition { it.holdsDuty }
+        relays.forEach { relay ->
+            sending.withLock {
+                val report = buildReport(ReportPurpose.RELAY).copy(endpointRecords = relay())
+                load.measure(Activity.SEND_REPORTS) {
+                    holders.forEach { send(socket, report, listOf(it)) }
+                    if (others.isNotEmpty()) send(socket, report.withoutDemand(), others)
+                }
+            }
+        }
+    }
+
     /** Starts sending and receiving at [host]:[port]. */
     suspend fun start(scope: CoroutineScope, host: String, port: Int) {
         val socket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
+        boundSocket = socket
         scope.launch { receiveLoop(socket) }
         scope.launch { broadcastLoop(socket) }
         scope.launch {
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -9,6 +9,8 @@
 import io.daisybend.serving.endpoint.EngineHoldings
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.endpoint.ListExcerpt
+import io.daisybend.serving.endpoint.RelayedRecord
 import io.daisybend.serving.quarantine.AnswerSpan
 import io.daisybend.serving.quarantine.CrashEvidence
 import io.daisybend.serving.quarantine.EngineEnd
@@ -114,6 +116,22 @@
 @Serializable
 internal data class StreamOriginReport(val service: String, val version: String?, val streams: List<Long>)
 
+/** A record of the list of endpoints; see [RelayedRecord]. */
+@Serializable
+internal data class EndpointRecordReport(val key: String, val value: String? = null, val same: Boolean = false)
+
+/** A part of the list's log that the sender read; see [ListExcerpt]. */
+@Serializable
+internal data class EndpointRelayReport(
+    val era: Long,
+    val from: Long,
+    val end: Long,
+    val readAgoMs: Long,
+    val records: List<EndpointRecordReport> = emptyList(),
+    /** Time since the sender reached the store again, while entries may be missing for that reason. */
+    val regainedAgoMs: Long? = null,
+)
+
 /** Report of one VM. */
 @Serializable
 internal data class PeerReport(
@@ -148,6 +166,8 @@
     /** The sender's version of the configuration, while the store has only an older one. */
     val versionAheadOfStore: Long? = null,
     val leaving: List<LeavingReport> = emptyList(),
+    /** Only to VMs of the sender's failure domain, while the sender reads the list for them. */
+    val endpointRecords: EndpointRelayReport? = null,
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -161,6 +181,14 @@
 internal fun HoldingsReport.toHoldings(): EngineHoldings =
     EngineHoldings(orderCount, models.mapValues { (name, adapters) -> HeldModel(name, adapters) })
 
+/** Returns the reported part of the list's log. */
+internal fun EndpointRelayReport.toExcerpt(): ListExcerpt =
+    ListExcerpt(era, from, records.map { RelayedRecord(it.key, it.value, it.same) }, end, readAgoMs)
+
+/** Returns the reports of these records. */
+internal fun List<RelayedRecord>.toRecordReports(): List<EndpointRecordReport> =
+    map { EndpointRecordReport(it.key, it.value.takeUnless { _ -> it.isUnchanged }, it.isUnchanged) }
+
 /** Returns the reports of these uses. */
 internal fun Map<Incarnation, EndpointLimitUse>.toReports(): List<EndpointLimitReport> = map { (endpoint, limit) ->
     EndpointLimitReport(
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
@@ -42,7 +42,12 @@
     private var confirmedAt: ClockReading? = null
 
     private var nextOffset: Long? = null
+
+    @Volatile
     private var isConnected = true
+
+    /** Whether the newest call got no usable answer. */
+    val isStoreLost: Boolean get() = !isConnected
     private val era = StoreEraFollower(store)
 
     /** The newest version that was read in the current era of the store. */
--- a/entry/src/main/kotlin/io/daisybend/entry/store/StoreEraFollower.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/StoreEraFollower.kt
@@ -7,7 +7,9 @@
  * of offsets and of its own writes is void then. Used by one coroutine.
  */
 internal class StoreEraFollower(private val store: StoreClient) {
-    private var followedEra: Long? = null
+    /** The era that is followed, or null before the first contact. */
+    var followedEra: Long? = null
+        private set
 
     /** Returns whether the era has changed since the last call of [follow], or since the first contact. */
     fun hasChanged(): Boolean {
--- a/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
@@ -22,6 +22,7 @@
     private val log: EventLog,
     private val ownVm: String,
     private val ownAddress: SocketAddress,
+    private val retry: StoreRetry,
     private val nowMs: () -> Long,
 ) {
     private val era = StoreEraFollower(store)
@@ -35,8 +36,11 @@
         while (true) {
             if (era.follow() || !isRegistered) isRegistered = register()
             val hasReadOthers = readOthers()
-            val delayMs = if (isRegistered && hasReadOthers) POLL_INTERVAL_MS else RETRY_INTERVAL_MS
-            withTimeoutOrNull(delayMs) { while (!era.hasChanged()) delay(RETRY_INTERVAL_MS) }
+            if (isRegistered && hasReadOthers) {
+                withTimeoutOrNull(POLL_INTERVAL_MS) { while (!era.hasChanged()) delay(RETRY_INTERVAL_MS) }
+            } else {
+                retry.await(RETRY_INTERVAL_MS)
+            }
         }
     }
 
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeStore.kt
@@ -11,10 +11,16 @@
 import kotlinx.serialization.json.JsonPrimitive
 import java.nio.ByteBuffer
 import java.util.Base64
+import java.util.concurrent.ConcurrentHashMap
 
 internal class FakeStore {
     private val logs = HashMap<String, ArrayList<ByteArray>>()
 
+    private val readCounts = ConcurrentHashMap<String, Int>()
+
+    /** Returns the number of reads of [topic]. */
+    fun readCount(topic: String): Int = readCounts[topic] ?: 0
+
     /** Whether calls are refused. */
     @Volatile
     var isDown = false
@@ -46,6 +52,7 @@
                 it.substringAfter('=')
         }
         val topic = query.getValue("topic")
+        if (call.head.path != "/daisybend/log-append") readCounts.merge(topic, 1, Int::plus)
         when (call.head.path) {
             "/daisybend/log-append" -> append(call, topic, query["at"]?.toLong())
             "/daisybend/log-read" -> read(call, topic, query.getValue("from").toInt(), query["waitMs"]?.toLong() ?: 0)
