Read kept evidence seldom while few of many VMs restart

Cause: each VM reads the evidence of quarantines each 1.5 s while any peer is out of contact, which is nearly always so at 75 VMs that restart in turn. Ruled out: no reads at all, since links between VMs may be down for long.

A relay that says that the store was away counts before its records are used.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -120,16 +120,17 @@
         EndpointRateLimiter(requestEarlyReport = ::reportSoon, onChange = ::onEndpointLimitChanged)
     private val quarantineLog = QuarantineLog(log, metrics, ::steadyMs)
     private val fingerprinter = RequestFingerprinter()
-    private val quarantineKeeper =
-        QuarantineKeeper(store, quarantine, fingerprinter, clocks, log) {
-            peers.contact(steadyMs()).unreachableShare > 0.0
-        }
     private val storePolling =
         StorePolling(StorePollingBounds(bounds.configApplyMs, bounds.revokeMs, bounds.drainMs))
-    private val configuration =
+    private val storeRetry: StoreRetry = StoreRetry(storePolling, { peers.vmCount }) { configuration.isStoreLost }
+    private val quarantineKeeper =
+        QuarantineKeeper(store, quarantine, fingerprinter, clocks, log, storeRetry) {
+            val share = peers.contact(steadyMs()).unreachableShare
+            storePolling.evidenceIntervalMs(peers.vmCount, share).takeIf { share > 0.0 }
+        }
+    private val configuration: ConfigurationWatcher =
         ConfigurationWatcher(store, clocks, log, storePolling, { peers.vmCount }, ::onConfigurationChanged)
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
-    private val storeRetry = StoreRetry(storePolling, { peers.vmCount }) { configuration.isStoreLost }
     private val listSharing = ListSharing(
         settings.vm,
         settings.failureDomain,
--- a/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
@@ -77,7 +77,9 @@
         values: () -> Map<Pair<String, String>, Double>,
     ) {
         CounterWithCallback.builder().name(name).help(help).labelNames(labels.first, labels.second)
-            .callback { callback -> values().forEach { (pair, value) -> callback.call(value, pair.first, pair.second) } }
+            .callback { callback ->
+                values().forEach { (pair, value) -> callback.call(value, pair.first, pair.second) }
+            }
             .register(registry)
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -2,8 +2,8 @@
  * Watches the platform's endpoint list. Entries are applied as the log grows; an unreadable entry is skipped and does
  * not affect others. Known endpoints stay while the store is unavailable; entries that are still missing some time
  * after it is available again are removed. When the store comes back from an older copy, entries of that copy are used
- * only for endpoints of which nothing newer is known. In a large fleet some VMs of a failure domain read the list and pass
- * its records on to the others.
+ * only for endpoints of which nothing newer is known. In a large fleet some VMs of a failure domain read the list and
+ * pass its records on to the others.
  */
 package io.daisybend.entry.store
 
@@ -101,8 +101,7 @@
     private suspend fun watch() {
         while (true) {
             val sentAt = clocks.read()
-            val wasLost = lostAt != null
-            val from = synchronized(lock) { relay.position }
+            val (from, wasLost) = synchronized(lock) { relay.position to (lostAt != null) }
             val failure = if (from == null) readSnapshot(sentAt) else readUpdates(from.nextOffset, sentAt)
             if (failure != null) {
                 synchronized(lock) { onFailure(failure) }
@@ -135,7 +134,10 @@
         if (!sharing.isShared || sharing.readerRank() == null) return
         val (pieces, position) = synchronized(lock) { buffer.take(MAX_RELAY_BYTES) to relay.position }
         val end = position?.nextOffset ?: return
-        val bytes = pieces.sumOf { piece -> REPORT_BYTES + piece.records.sumOf { it.key.length + (it.value?.length ?: 0) } }
+        val bytes = pieces.sumOf { piece ->
+            REPORT_BYTES +
+                piece.records.sumOf { it.key.length + (it.value?.length ?: 0) }
+        }
         val relays = pieces.map { piece ->
             {
                 val now = clocks.read()
@@ -152,11 +154,13 @@
         sharing.send(bytes, relays)
     }
 
-    /** Notes the delay of a report of [process], sent at [sentMs] of its clock, and applies the part of the list in it. */
+    /** Notes the delay of a report of [process], sent at [sentMs] of its clock, and applies its part of the list. */
     fun onPeerReport(process: String, sentMs: Long, report: EndpointRelayReport?): Unit = synchronized(lock) {
         val now = clocks.read()
         val delayMs = delays.onReport(process, sentMs, now.steadyMs)
         if (report == null) return
+        // Entries may have expired while the sender did not reach the store, as after an own loss of it.
+        if (regainedAt == null) regainedAt = report.regainedAgoMs?.let { now.plus(-it) }
         val use = load.measure(Activity.READ_ENDPOINTS) { applyRelay(report, delayMs, now) }
         relayUses.computeIfAbsent(use) { LongAdder() }.increment()
     }
@@ -164,8 +168,6 @@
     private fun applyRelay(report: EndpointRelayReport, delayMs: Long?, now: ClockReading): String =
         when (val use = relay.onExcerpt(report.toExcerpt(), delayMs, now)) {
             is ExcerptUse.Apply -> {
-                // Entries may have expired while the sender did not reach the store, as after an own loss of it.
-                if (regainedAt == null) regainedAt = report.regainedAgoMs?.let { now.plus(-it) }
                 val sent = apply(use.records)
                 relay.position?.let { buffer.add(sent, it) }
                 if (use.isConfirmed) onConfirmed()
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ListSharing.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ListSharing.kt
@@ -35,7 +35,11 @@
             .filter { it.failureDomain == failureDomain && !it.stopping && it.storeAgeMs < maxAgeMs }
             .map { it.vm }
         val rank = if (isStopping() || !isShared) null else ListRelay.readerRank(failureDomain, ownVm, others)
-        if (rank != loggedRank) log.write("endpoint-list-reader", "rank" to (rank ?: "none"), "domainVms" to others.size)
+        if (rank !=
+            loggedRank
+        ) {
+            log.write("endpoint-list-reader", "rank" to (rank ?: "none"), "domainVms" to others.size)
+        }
         loggedRank = rank
         return rank
     }
@@ -57,7 +61,7 @@
         const val BITS_PER_BYTE = 8
         const val BITS_PER_MEGABIT_MS = 1_000.0
 
-        /** Time of the own link that the relay of one read may take, in milliseconds: a quarter of the read interval. */
+        /** Time of the own link that the relay of one read may take, in milliseconds: a quarter of the interval. */
         const val MAX_LINK_MS = 210
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/QuarantineKeeper.kt
@@ -22,8 +22,8 @@
 import io.daisybend.serving.quarantine.CrashQuarantine
 import io.daisybend.serving.quarantine.EngineEnd
 import io.daisybend.serving.site.ClockPair
+import io.daisybend.serving.site.StorePolling
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -38,14 +38,18 @@
 @Serializable
 private data class KeptKey(val fingerprintKey: String)
 
-/** Reads and writes kept evidence; [arePeersMissing] tells whether some peers are out of contact. */
+/**
+ * Reads and writes kept evidence; [missingPeersIntervalMs] returns the interval between reads while peers are out of
+ * contact, in milliseconds, or null while none is.
+ */
 internal class QuarantineKeeper(
     private val store: StoreClient,
     private val quarantine: CrashQuarantine,
     private val fingerprinter: RequestFingerprinter,
     private val clocks: ClockPair,
     private val log: EventLog,
-    private val arePeersMissing: () -> Boolean,
+    private val retry: StoreRetry,
+    private val missingPeersIntervalMs: () -> Long?,
 ) {
     private val era = StoreEraFollower(store)
     private val changed = Channel<Unit>(Channel.CONFLATED)
@@ -55,6 +59,7 @@
     private var isLoaded = false
     private var isKeyShared = false
     private var wasQuarantining = false
+    private var lastReadMs = clocks.read().steadyMs
 
     /** Writes the evidence of new quarantines soon. */
     fun keepSoon() {
@@ -128,14 +133,23 @@
         while (true) {
             withTimeoutOrNull(POLL_INTERVAL_MS) { changed.receive() }
             if (era.hasChanged()) forgetKept()
-            if (!isLoaded || !isKeyShared || arePeersMissing()) load()
+            if (!isLoaded || !isKeyShared || isReadDue()) {
+                lastReadMs = clocks.read().steadyMs
+                load()
+            }
             if (!writeNewEnds() || !deleteReleased()) {
                 keepSoon()
-                delay(RETRY_INTERVAL_MS)
+                retry.await(RETRY_INTERVAL_MS)
             }
         }
     }
 
+    /** Whether peers are out of contact and the newest read is as old as their number demands. */
+    private fun isReadDue(): Boolean {
+        val intervalMs = missingPeersIntervalMs() ?: return false
+        return intervalMs <= POLL_INTERVAL_MS || clocks.read().steadyMs - lastReadMs >= intervalMs
+    }
+
     /**
      * Forgets what the store keeps, since it came back from an older copy: evidence may be missing, and deleted
      * evidence may be back.
@@ -185,7 +199,7 @@
         const val KEY_ATTEMPTS = 4
 
         /** Interval at which evidence is read while peers are out of contact, in milliseconds. */
-        const val POLL_INTERVAL_MS = 1_500L
+        const val POLL_INTERVAL_MS = StorePolling.EVIDENCE_MS
 
         /** Delay before another attempt to write, in milliseconds. */
         const val RETRY_INTERVAL_MS = 400L
--- a/entry/src/test/kotlin/io/daisybend/entry/ListRelayTrafficTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/ListRelayTrafficTest.kt
@@ -106,6 +106,26 @@
         }
     }
 
+    // Entries expire while the store is unavailable to endpoints, and come back within two seconds.
+    test("entries that a peer misses after the store was away stay in use for a while") {
+        withSite {
+            configure()
+            val peers = DomainPeers(this, peersOf(isReader = false))
+            val end = store.endOf(ENDPOINTS_TOPIC).toLong()
+            val none = EndpointRelayReport(1, end, end, readAgoMs = 20)
+            peers.relay = none
+            peers.start()
+            delay(3_000)
+            val missing = listOf(EndpointRecordReport("e-1"), EndpointRecordReport("e-2"))
+            peers.relay = none.copy(end = end + 2, records = missing, regainedAgoMs = 0)
+            repeat(5) {
+                delay(300)
+                statusOf("/safe/x") shouldBe 200
+            }
+            eventually(3.seconds) { statusOf("/safe/x") shouldBe 503 }
+        }
+    }
+
     test("a VM that reads the list passes new records on to its failure domain") {
         withSite {
             configure()
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/ListRelay.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/ListRelay.kt
@@ -50,7 +50,7 @@
     val ownReadAfterMs: Long = 1_100,
     /** Delay of a loop above which this VM stood still and input may have waited for it meanwhile. */
     val standstillMs: Long = 600,
-    /** Time after a standstill in which this VM trusts its own reads alone; a VM without the store hears others again. */
+    /** Time after a standstill in which only own reads are trusted; then a VM without the store hears others again. */
     val distrustMs: Long = 2_000,
 ) {
     public companion object {
@@ -115,27 +115,40 @@
      */
     public fun onExcerpt(excerpt: ListExcerpt, delayMs: Long?, now: ClockReading): ExcerptUse {
         onLoop(now)
-        val applied = position ?: return ExcerptUse.Unplaced
-        if (excerpt.era > applied.era) {
-            reset()
-            return ExcerptUse.Unplaced
-        }
-        if (excerpt.era < applied.era || excerpt.end < applied.nextOffset) return ExcerptUse.Outdated
+        val applied = position
         val readAt = delayMs?.let { now.plus(-(excerpt.readAgoMs + it)) }
-        if (excerpt.from > applied.nextOffset) {
-            if (early.size == MAX_EARLY) early.removeFirst()
-            early.addLast(EarlyExcerpt(excerpt, readAt))
-            return ExcerptUse.Gap
+        return when {
+            applied == null -> ExcerptUse.Unplaced
+            excerpt.era > applied.era -> {
+                reset()
+                ExcerptUse.Unplaced
+            }
+            excerpt.era < applied.era || excerpt.end < applied.nextOffset -> ExcerptUse.Outdated
+            excerpt.from > applied.nextOffset -> {
+                if (early.size == MAX_EARLY) early.removeFirst()
+                early.addLast(EarlyExcerpt(excerpt, readAt))
+                ExcerptUse.Gap
+            }
+            else -> appendAll(excerpt, readAt, now)
         }
+    }
+
+    /** Applies [excerpt] and those that came before it and go on from there. */
+    private fun appendAll(excerpt: ListExcerpt, readAt: ClockReading?, now: ClockReading): ExcerptUse.Apply {
         var use = append(excerpt, readAt, now)
-        while (true) {
-            val next = position?.nextOffset ?: return use
-            val following = early.firstOrNull { it.excerpt.era == excerpt.era && it.excerpt.from <= next } ?: return use
-            early.remove(following)
-            if (following.excerpt.end < next) continue
+        var following = takeEarly(excerpt.era)
+        while (following != null) {
             val further = append(following.excerpt, following.readAt, now)
             use = ExcerptUse.Apply(use.records + further.records, use.isConfirmed || further.isConfirmed)
+            following = takeEarly(excerpt.era)
         }
+        return use
+    }
+
+    private fun takeEarly(era: Long): EarlyExcerpt? {
+        val next = position?.nextOffset ?: return null
+        early.removeIf { it.excerpt.era != era || it.excerpt.end < next }
+        return early.firstOrNull { it.excerpt.from <= next }?.also(early::remove)
     }
 
     private fun append(excerpt: ListExcerpt, readAt: ClockReading?, now: ClockReading): ExcerptUse.Apply {
@@ -163,14 +176,14 @@
      */
     public fun readDueInMs(readerRank: Int?, now: ClockReading): Long {
         val known = confirmedAt
-        if (position == null || isReadRequired(now) || known == null) return 0
+        val lastRead = lastReadAt
+        val isRequired = position == null || isReadRequired(now)
+        if (isRequired || known == null || lastRead == null) return 0
         val followerDueMs = settings.ownReadAfterMs - now.ageOf(known)
         if (readerRank == null) return followerDueMs
-        val lastRead = lastReadAt ?: return 0
         val sinceReadMs = now.steadyMs - lastRead.steadyMs
-        val readerDueMs = settings.readIntervalMs - sinceReadMs
-        val otherMs = excerptAt?.let { it.steadyMs - lastRead.steadyMs } ?: -1
-        if (readerRank == 0 || otherMs < 0) return readerDueMs
+        val otherMs = excerptAt?.let { it.steadyMs - lastRead.steadyMs }?.takeIf { it >= 0 }
+        if (readerRank == 0 || otherMs == null) return settings.readIntervalMs - sinceReadMs
         val halfMs = settings.readIntervalMs / 2
         val targetMs = (otherMs + halfMs).coerceIn(halfMs, settings.readIntervalMs + halfMs / 2)
         return minOf(targetMs - sinceReadMs, followerDueMs.coerceAtLeast(0))
--- a/serving/src/main/kotlin/io/daisybend/serving/site/StorePolling.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/site/StorePolling.kt
@@ -52,7 +52,20 @@
     public fun retryDelayMs(vmCount: Int, random: Random): Long =
         if (isLargeFleet(vmCount)) random.nextLong(RETRY_DELAY_MS, MAX_RETRY_DELAY_MS + 1) else RETRY_DELAY_MS
 
+    /**
+     * Returns the interval between reads of the kept evidence of quarantines, in milliseconds, while
+     * [unreachableShare] of [vmCount] VMs is out of contact. In a large fleet some VM restarts at nearly any time, and
+     * what it saw was reported to all others; a share as large as that of a failure domain means that links are down.
+     */
+    public fun evidenceIntervalMs(vmCount: Int, unreachableShare: Double): Long =
+        if (isLargeFleet(vmCount) && unreachableShare < MIN_PARTITION_SHARE) RELAXED_EVIDENCE_MS else EVIDENCE_MS
+
     public companion object {
+        /** Interval at which evidence of quarantines is read while many peers are out of contact, in milliseconds. */
+        public const val EVIDENCE_MS: Long = 1_500
+        private const val RELAXED_EVIDENCE_MS = 6_000L
+        private const val MIN_PARTITION_SHARE = 0.1
+
         /** Timeout for a response beyond the wait, in milliseconds: many times the store's usual response time. */
         public const val RESPONSE_TIMEOUT_MS: Long = 700
 
--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/SimulatedDomain.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/SimulatedDomain.kt
@@ -1,7 +1,7 @@
 /*
  * The VMs of one failure domain on a timeline, without a network: a store with a log, reports that are delayed, lost or
- * read late, and VMs that are killed, frozen or cut off. Checks at each step that no VM takes its list for newer than it
- * is.
+ * read late, and VMs that are killed, frozen or cut off. Checks at each step that no VM takes its list for newer than
+ * it is.
  */
 package io.daisybend.serving.endpoint
 
@@ -86,7 +86,8 @@
         private fun isSound(): Boolean {
             val confirmedAt = relay.confirmedAt ?: return true
             // The delay of the fastest report of a process is not known and counts as none.
-            return lagMs() <= clock().ageOf(confirmedAt) + USUAL_DELAY_MS || relay.position == null || relay.position?.era != era
+            if (relay.position?.era != era) return true
+            return lagMs() <= clock().ageOf(confirmedAt) + USUAL_DELAY_MS
         }
     }
 
--- a/serving/src/test/kotlin/io/daisybend/serving/site/StorePollingTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/site/StorePollingTest.kt
@@ -36,4 +36,11 @@
         delays.forEach { it shouldBeInRange 250L..450L }
         (delays.distinct().size > 100) shouldBe true
     }
+
+    // At 75 VMs that restart one after the other, each VM read the evidence each 1.5 s all day.
+    test("evidence is read seldom while a few of many VMs restart, and often in a partition") {
+        polling(3_000).evidenceIntervalMs(vmCount = 75, unreachableShare = 2 / 75.0) shouldBe 6_000
+        polling(3_000).evidenceIntervalMs(vmCount = 75, unreachableShare = 0.3) shouldBe 1_500
+        polling(3_000).evidenceIntervalMs(vmCount = 9, unreachableShare = 0.05) shouldBe 1_500
+    }
 })
