--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -36,7 +36,10 @@
 import io.daisybend.entry.peers.toUses
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
+import io.daisybend.entry.store.ListSharing
 import io.daisybend.entry.store.QuarantineKeeper
+import io.daisybend.entry.store.StoreCallLog
+import io.daisybend.entry.store.StoreRetry
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.platform.EngineClient
@@ -51,6 +54,7 @@
 import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.endpoint.ListRelaySettings
 import io.daisybend.serving.quarantine.CrashEvidence
 import io.daisybend.serving.quarantine.CrashQuarantine
 import io.daisybend.serving.quarantine.Quarantine
@@ -61,6 +65,8 @@
 import io.daisybend.serving.site.ClockPair
 import io.daisybend.serving.site.FreshnessSettings
 import io.daisybend.serving.site.RouteTable
+import io.daisybend.serving.site.StorePolling
+import io.daisybend.serving.site.StorePollingBounds
 import io.daisybend.serving.site.SystemClockPair
 import io.daisybend.serving.stream.StreamOrigins
 import io.ktor.network.selector.SelectorManager
@@ -96,6 +102,7 @@
     private val connectionPool = ConnectionPool(selector, ::steadyMs)
     private val httpClient = PooledHttpClient(connectionPool)
     private val store = StoreClient(httpClient, settings.storeAddress)
+    private val storeCallLog = StoreCallLog(store.calls, metrics, log)
     private val table = EndpointTable()
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
@@ -113,14 +120,41 @@
         EndpointRateLimiter(requestEarlyReport = ::reportSoon, onChange = ::onEndpointLimitChanged)
     private val quarantineLog = QuarantineLog(log, metrics, ::steadyMs)
     private val fingerprinter = RequestFingerprinter()
+    private val storePolling =
+        StorePolling(StorePollingBounds(bounds.configApplyMs, bounds.revokeMs, bounds.drainMs))
+    private val storeRetry: StoreRetry = StoreRetry(storePolling, { peers.vmCount }) { configuration.isStoreLost }
     private val quarantineKeeper =
-        QuarantineKeeper(store, quarantine, fingerprinter, clocks, log) {
-            peers.contact(steadyMs()).unreachableShare > 0.0
+        QuarantineKeeper(store, quarantine, fingerprinter, clocks, log, storeRetry) {
+            val share = peers.contact(steadyMs()).unreachableShare
+            storePolling.evidenceIntervalMs(peers.vmCount, share).takeIf { share > 0.0 }
         }
-    private val configuration = ConfigurationWatcher(store, clocks, log, ::onConfigurationChanged)
+    private val configuration: ConfigurationWatcher =
+        ConfigurationWatcher(store, clocks, log, storePolling, { peers.vmCount }, ::onConfigurationChanged)
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
+    private val listSharing = ListSharing(
+        settings.vm,
+        settings.failureDomain,
+        settings.linkMbps,
+        peers,
+        storePolling,
+        log,
+        ::steadyMs,
+        isStopping = { stopState.isStopping },
+        peerLink = { peerLink },
+    )
     private val endpointWatcher =
-        EndpointWatcher(store, clocks, table, log, load, streamOrigins, ::onEndpointsChanged)
+        EndpointWatcher(
+            store,
+            clocks,
+            table,
+            log,
+            load,
+            streamOrigins,
+            listSharing,
+            ListRelaySettings.forDrain(bounds.drainMs),
+            storeRetry,
+            ::onEndpointsChanged,
+        )
     private val pauses = EndpointPauses()
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
@@ -159,7 +193,7 @@
         requestHandler,
         endpointPool,
         teamRateLimiter,
-        FreshnessSettings(maxKeyAgeMs = bounds.revokeMs - KEY_REVOCATION_MARGIN_MS, maxDenialAgeMs = MAX_DENIAL_AGE_MS),
+        { FreshnessSettings(bounds.revokeMs - KEY_REVOCATION_MARGIN_MS, configuration.times.maxDenialAgeMs) },
         bodyMemory,
         log,
         metrics,
@@ -202,7 +236,10 @@
         onBegun = ::reportSoon,
         // Another VM must wait for the handover gap before it sends orders, so this VM sends orders until it ends or
         // until its next process takes over.
-        onDrained = { leaseManager.releaseLease() },
+        onDrained = {
+            leaseManager.releaseLease()
+            storeCallLog.write()
+        },
     )
 
     /** Times of the last broadcasts to the peers; each change is contained in that many. */
@@ -213,6 +250,7 @@
         log,
         settings.vm,
         SocketAddress(settings.ip, settings.peerPort),
+        storeRetry,
         ::steadyMs,
     )
     private val sequence = AtomicLong()
@@ -257,6 +295,7 @@
         keepRunning("orders") { orderController.run(scope) }
         keepRunning("maintenance") { runMaintenance() }
         keepRunning("load-monitor") { load.run() }
+        keepRunning("store-call-log") { storeCallLog.run() }
         registerGauges()
         log.write("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerAddress.toString())
     }
@@ -308,6 +347,9 @@
                     leftMs / MILLIS_PER_SECOND
             }
         }
+        metrics.addCounters("daisybend_list_relays", "Received parts of the endpoint list", label = "use") {
+            endpointWatcher.relayCounts()
+        }
         metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.requestsInProgress.toDouble()
         }
@@ -382,9 +424,10 @@
      */
     private fun candidateRank(excluding: String? = null): Int? {
         if (stopState.isStopping && leaseManager.currentEpoch() == null) return null
-        if (configuration.confirmationAgeMs() > MAX_CANDIDATE_AGE_MS) return null
+        val maxAgeMs = configuration.times.maxUsableAgeMs
+        if (configuration.confirmationAgeMs() > maxAgeMs) return null
         val others = peers.aliveReports(steadyMs())
-            .filter { !it.stopping && it.storeAgeMs < MAX_CANDIDATE_AGE_MS && it.vm != excluding }
+            .filter { !it.stopping && it.storeAgeMs < maxAgeMs && it.vm != excluding }
             .map { it.vm }
         return rankByRendezvous("order-duty", others + settings.vm).indexOf(settings.vm)
     }
@@ -409,9 +452,11 @@
             stopping = stopState.isStopping,
             storeAgeMs = configuration.confirmationAgeMs(),
             alivePeers = emptyList(),
-            teams = (if (isBroadcast) teamRateLimiter.reportChanges() else teamRateLimiter.usage()).map { (team, use) ->
-                TeamUseReport(team, use.admitted, use.level)
-            },
+            teams = when (purpose) {
+                ReportPurpose.BROADCAST -> teamRateLimiter.reportChanges()
+                ReportPurpose.COMPLETE, ReportPurpose.DEMAND, ReportPurpose.RELAY -> teamRateLimiter.usage()
+                ReportPurpose.RELAY -> emptyMap()
+            }.map { (team, use) -> TeamUseReport(team, use.admitted, use.level) },
             duty = leaseManager.newestRecord(),
             renewal = leaseManager.renewalToDelegate(),
             holdsDuty = leaseManager.currentEpoch() != null,
@@ -419,27 +464,31 @@
             queuedDemand = endpointPool.demand.queuedDemand(),
             requests = endpointPool.demand.requestCounts(peers.repeatWindowMs),
             holdings =
-            if (leaseManager.currentEpoch() != null) orderController.announcements(changedSinceMs) else emptyList(),
+            if (leaseManager.currentEpoch() != null && purpose != ReportPurpose.RELAY) {
+                orderController.announcements(changedSinceMs)
+            } else {
+                emptyList()
+            },
             prompts = when (purpose) {
                 ReportPurpose.BROADCAST -> quarantine.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> quarantine.evidence(now.steadyMs)
-                ReportPurpose.DEMAND -> CrashEvidence()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> CrashEvidence()
             }.toReport(),
             limits = when (purpose) {
                 ReportPurpose.BROADCAST -> endpointRateLimiter.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> endpointRateLimiter.uses(now.steadyMs)
-                ReportPurpose.DEMAND -> emptyMap()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyMap()
             }.toReports(),
             streams = when (purpose) {
                 ReportPurpose.BROADCAST -> streamOrigins.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> streamOrigins.reportAll(now.steadyMs)
-                ReportPurpose.DEMAND -> emptyList()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toStreamReports(),
             versionAheadOfStore = configuration.versionAheadOfStore,
             leaving = when (purpose) {
                 ReportPurpose.BROADCAST -> departures.reportChanges()
                 ReportPurpose.COMPLETE -> departures.reportAll()
-                ReportPurpose.DEMAND -> emptyList()
+                ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
         )
     }
@@ -454,6 +503,11 @@
 
     private fun onPeerReport(report: PeerReport) {
         val now = steadyMs()
+        // Records have offsets of their own, so a report that was overtaken still counts.
+        if (report.failureDomain == settings.failureDomain) {
+            val process = "${report.vm}@${report.startedAtMs}"
+            endpointWatcher.onPeerReport(process, report.uptimeMs, report.endpointRecords)
+        }
         when (peers.onReport(report, now)) {
             ReportEffect.OUTDATED -> return
             ReportEffect.UPDATED -> Unit
@@ -518,14 +572,6 @@
         /** Subtracted from the bound for withdrawn keys, in milliseconds: covers clock differences and slow threads. */
         const val KEY_REVOCATION_MARGIN_MS = 200L
 
-        /**
-         * Greatest age of the configuration at which an unknown key or route is denied, in milliseconds: one long poll.
-         */
-        const val MAX_DENIAL_AGE_MS = 1_900L
-
-        /** Greatest age of the configuration at which a VM is a candidate for the order duty, in milliseconds. */
-        const val MAX_CANDIDATE_AGE_MS = 2_600L
-
         /** Number of VMs that append a peer's renewal: more than one, since one may have lost the store itself. */
         const val MAX_RENEWING_PEERS = 2
 
