Decode cold starts, remaining cold times, evacuations and home regions

Cause: the platform names them in the configuration, the list of endpoints, the health header, the operators' topic and the settings, and nothing read them. Ruled out: treating an entry with an unreadable coldLeftMs as unreadable; its endpoint would leave the service for a value that says nothing.

--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointEntry.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointEntry.kt
@@ -41,4 +41,8 @@
     val isDraining: Boolean,
     val holdings: EngineHoldings?,
     val softwareVersion: SoftwareVersion = SoftwareVersion(null),
+    /** How much longer the endpoint stays cold after the entry was read, in milliseconds; 0 if it is not cold. */
+    val coldLeftMs: Long = 0,
+    /** Whether the entry's value of [coldLeftMs] was absent or readable. */
+    val isColdLeftReadable: Boolean = true,
 )
--- a/serving/src/main/kotlin/io/daisybend/serving/site/SiteConfiguration.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/site/SiteConfiguration.kt
@@ -32,6 +32,8 @@
     val maxAttempts: Int,
     val openToAll: Boolean,
     val resumable: Boolean,
+    /** The regions whose endpoints may serve the route; empty for all regions. */
+    val homeRegions: Set<String> = emptySet(),
 ) {
     /** Whether a request of this route may be sent again when an earlier send may have run. */
     val mayRetry: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable)
@@ -59,8 +61,22 @@
     val models: Map<String, ModelSpec>,
 )
 
-/** A set of interchangeable endpoints; [engine] is null for plain services. */
-public data class Service(val name: String, val maxConnections: Int, val engine: EngineSpec?)
+/**
+ * What an endpoint takes after its start: for [durationMs] milliseconds, [perSecond] requests a second from all VMs
+ * together; it crashes at a rate well above that.
+ */
+public data class ColdStart(val durationMs: Long, val perSecond: Double)
+
+/**
+ * A set of interchangeable endpoints; [engine] is null for plain services, and [coldStart] if the endpoints take
+ * requests at full rate from their start.
+ */
+public data class Service(
+    val name: String,
+    val maxConnections: Int,
+    val engine: EngineSpec?,
+    val coldStart: ColdStart? = null,
+)
 
 /**
  * A team with its keys and its rate, counted in tokens, or in requests when [countsTokens] is false. A rate of 0 means
@@ -74,6 +90,8 @@
     val plainTokens: Long,
     val ratePerSecond: Double,
     val burst: Double,
+    /** The regions whose endpoints may serve the team; empty for all regions. */
+    val homeRegions: Set<String> = emptySet(),
 )
 
 /** Limits on the size of callers' requests and on the time to read them. */
