--- a/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/ResidencyPlanner.kt
@@ -45,6 +45,8 @@
     public val limitPerSecond: Double? = null,
     /** Whether the engine has got as many requests as its limit allows. */
     public val isAtLimit: Boolean = false,
+    /** How much longer the engine stays cold, in milliseconds; 0 if it takes requests at its full rate. */
+    public val coldLeftMs: Long = 0,
 )
 
 /** A planned order for one engine. */
@@ -201,8 +203,9 @@
             val ready = holders.filter { it !in orderedEngines && it.tracker.acceptsOrders(nowMs) }
             val byId = ready.associateBy { it.tracker.incarnation.id }
             val ranked = rankByRendezvous("${key.model}/${key.adapter}", byId.keys).mapNotNull { byId[it] }
-            val leastDelayMs = ranked.minOfOrNull { it.delayMs() } ?: return
-            val engine = ranked.first { it.delayMs() <= leastDelayMs + settings.replicaDelayMs / 2 }
+            val leastDelayMs = ranked.minOfOrNull { it.delayMs() + it.coldLeftMs } ?: return
+            val engine =
+                ranked.first { it.delayMs() + it.coldLeftMs <= leastDelayMs + settings.replicaDelayMs / 2 }
             val slotsUsed = engine.tracker.reservedAdapters().size
             if (slotsUsed < spec.adapterSlots && freeMb(engine) >= adapterMb(key)) {
                 addOrder(engine, EngineOrder.LoadAdapter(key.model, key.adapter), ADAPTER_LOAD_MS, reason)
@@ -323,7 +326,8 @@
                 source = source,
                 victims = victims,
                 costMs =
-                loadMs(engine, model, source) + victimsCostMs + interferenceMs + waitMs + limitMs + storePenaltyMs,
+                loadMs(engine, model, source) + victimsCostMs + interferenceMs + waitMs + limitMs + storePenaltyMs +
+                    engine.coldLeftMs,
                 isPossibleNow = victims.all { minStayLeftMs(engine, it) == 0L },
             )
         }
