--- a/cli/src/main/kotlin/io/daisybend/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/io/daisybend/cli/ExplainCommand.kt
@@ -115,6 +115,14 @@
         const val LOOKBACK_MS = 6_000L
         val orderEvents = setOf("order-sent", "order-answered", "load-ended")
         val endpointEvents = setOf("endpoint-paused", "endpoint-leaving", "endpoint-gone")
-        val dependencyEvents = listOf("-lost", "-regained", "-in-force", "started", "stopping")
+        val dependencyEvents = listOf(
+            "-lost",
+            "-regained",
+            "-in-force",
+            "started",
+            "stopping",
+            "evacuation-began",
+            "evacuation-ended",
+        )
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -117,10 +117,12 @@
         QuarantineKeeper(store, quarantine, fingerprinter, clocks, log) {
             peers.contact(steadyMs()).unreachableShare > 0.0
         }
-    private val configuration = ConfigurationWatcher(store, clocks, log, ::onConfigurationChanged)
+    private val rules = EndpointRules(settings, table, peers, log, metrics, ::steadyMs, ::onEndpointsChanged)
+    private val configuration =
+        ConfigurationWatcher(store, clocks, log, rules.evacuationRecords, ::onConfigurationChanged)
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
     private val endpointWatcher =
-        EndpointWatcher(store, clocks, table, log, load, streamOrigins, ::onEndpointsChanged)
+        EndpointWatcher(store, clocks, table, log, load, streamOrigins, rules::onListed, ::onEndpointsChanged)
     private val pauses = EndpointPauses()
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
@@ -136,6 +138,7 @@
         endpointRateLimiter,
         streamOrigins,
         pauses,
+        rules.eligibility,
         departures,
         stopState.deadline,
         endpointWatcher::listAgeMs,
@@ -181,6 +184,7 @@
         table,
         fleet,
         endpointRateLimiter,
+        rules.eligibility,
         configuration = { configuration.table },
         ownVm = settings.vm,
         loadWindowMs = bounds.loadWindowMs,
@@ -214,6 +218,7 @@
         settings.vm,
         SocketAddress(settings.ip, settings.peerPort),
         ::steadyMs,
+        rules::onVmsListed,
     )
     private val sequence = AtomicLong()
     private val firstReport = CompletableDeferred<Unit>()
@@ -286,6 +291,7 @@
         }
 
     private fun registerGauges() {
+        rules.registerMetrics()
         metrics.addGauge("daisybend_configuration_age_seconds", "Time since the store confirmed the configuration") {
             configuration.confirmationAgeMs() / MILLIS_PER_SECOND
         }
@@ -339,10 +345,12 @@
             quarantine.removeExpired(now)
             pauses.removeEnded(now)
             departures.removeForgotten()
+            rules.maintain()
         }
     }
 
     private fun onConfigurationChanged(newTable: RouteTable) {
+        rules.configure(newTable.configuration)
         teamRateLimiter.configure(newTable.configuration.teams, steadyMs())
         endpointPool.onEndpointsChanged()
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/AdmittedRequest.kt
@@ -4,6 +4,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.platform.CallerRequestHeaders
+import io.daisybend.serving.endpoint.homesOf
 import io.daisybend.serving.quarantine.RequestFingerprint
 import io.daisybend.serving.site.Route
 import io.daisybend.serving.site.RouteKind
@@ -57,6 +58,9 @@
     val takesUpStream: Boolean
         get() = isResumableStream && (caller.resumedAttemptId != null || caller.lastEventId != null)
 
+    /** The regions whose endpoints may serve the request, or null for all. */
+    val homes: Set<String>? = homesOf(route, team)
+
     /** Priority of the request: the team's if it has one, otherwise the route's. */
     val priority: Int get() = team?.priority ?: route.priority
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -7,6 +7,7 @@
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.platform.RequestLimit
 import io.daisybend.serving.endpoint.Endpoint
+import io.daisybend.serving.endpoint.EndpointEligibility
 import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.quarantine.CrashQuarantine
@@ -21,6 +22,7 @@
     private val fingerprinter: RequestFingerprinter,
     private val rateLimiter: EndpointRateLimiter,
     private val pauses: EndpointPauses,
+    private val eligibility: EndpointEligibility,
     private val departures: EndpointDepartures,
     private val steadyMs: () -> Long,
 ) {
@@ -33,7 +35,17 @@
     }
 
     /** Records that [endpoint] is unreachable. */
-    fun recordUnreachable(endpoint: Endpoint) = table.onUnreachable(endpoint, steadyMs())
+    fun recordUnreachable(endpoint: Endpoint) {
+        table.onUnreachable(endpoint, steadyMs())
+        recordConnectionLost(endpoint)
+    }
+
+    /** Records that a connection to [endpoint] was refused or broke, so that it may have restarted. */
+    fun recordConnectionLost(endpoint: Endpoint) = eligibility.coldEngines.onConnectionLost(endpoint, steadyMs())
+
+    /** Records that [endpoint] said that it stays cold for [leftMs] milliseconds. */
+    fun recordColdLeft(endpoint: Endpoint, leftMs: Long) =
+        eligibility.coldEngines.onNamed(endpoint, leftMs, steadyMs())
 
     /** Records that [endpoint] refused the model of [admitted]. */
     fun recordRejection(endpoint: Endpoint, admitted: AdmittedRequest) {
@@ -54,15 +66,21 @@
     /** Returns whether [endpoint] wants no request of this VM now. */
     fun isPaused(endpoint: Endpoint): Boolean = pauses.leftMs(endpoint.incarnation, steadyMs()) > 0
 
-    /** Returns whether a request that was chosen for [endpoint] may still be sent to it. */
-    fun mayStillSend(endpoint: Endpoint): Boolean =
-        !endpoint.entry.isDraining && endpoint.incarnation !in table.leaving && !isPaused(endpoint)
+    /** Returns whether a request that was chosen for [endpoint] by [chosenAtMs] may still be sent to it. */
+    fun mayStillSend(endpoint: Endpoint, chosenAtMs: Long): Boolean =
+        !endpoint.entry.isDraining &&
+            endpoint.incarnation !in table.leaving &&
+            !isPaused(endpoint) &&
+            eligibility.maySend(endpoint, chosenAtMs, steadyMs())
 
     /** Records that [endpoint] said that it is leaving. */
     fun recordLeaving(endpoint: Endpoint) = departures.onResponse(endpoint.incarnation)
 
-    /** Records that a request to [endpoint] did not reach it. */
-    fun recordUnsent(endpoint: Endpoint) = rateLimiter.refund(endpoint.incarnation)
+    /** Records that no byte of a request that was chosen for [endpoint] by [chosenAtMs] was written. */
+    fun recordUnsent(endpoint: Endpoint, chosenAtMs: Long) {
+        rateLimiter.refund(endpoint.incarnation)
+        eligibility.giveBack(endpoint, chosenAtMs)
+    }
 
     /** Records that the answer to [admitted] went on past its beginning. */
     fun recordProvenAnswer(admitted: AdmittedRequest) = quarantine.onAnswerProven(admitted.sharedPartIds, steadyMs())
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -13,6 +13,7 @@
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.EndpointChoice
 import io.daisybend.serving.endpoint.EndpointChooser
+import io.daisybend.serving.endpoint.EndpointEligibility
 import io.daisybend.serving.endpoint.EndpointLoad
 import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
@@ -80,6 +81,7 @@
     private val rateLimiter: EndpointRateLimiter,
     private val streamOrigins: StreamOrigins,
     private val pauses: EndpointPauses,
+    private val eligibility: EndpointEligibility,
     departures: EndpointDepartures,
     shutdown: ShutdownDeadline,
     private val listAgeMs: () -> Long,
@@ -97,7 +99,8 @@
     private val sendDeadlines = SendDeadlines(shutdown, exchanges, steadyMs)
 
     /** Outcomes of sends. */
-    val outcomes = EndpointOutcomes(table, quarantine, fingerprinter, rateLimiter, pauses, departures, steadyMs)
+    val outcomes =
+        EndpointOutcomes(table, quarantine, fingerprinter, rateLimiter, pauses, eligibility, departures, steadyMs)
 
     /** Demand of this VM for models. */
     val demand = ModelDemandTracker(steadyMs)
@@ -185,9 +188,18 @@
 
     /** Takes the rate of [endpoint] and the trial if [admitted] is one; another request may have taken them. */
     private fun reserve(endpoint: Endpoint, admitted: AdmittedRequest): Boolean {
-        if (!rateLimiter.admit(endpoint.incarnation, steadyMs())) return false
-        return quarantine.onSent(outcomes.suspectParts(admitted), steadyMs()).also { maySend ->
-            if (!maySend) rateLimiter.refund(endpoint.incarnation)
+        val now = steadyMs()
+        if (!takeTurn(endpoint, now)) return false
+        return quarantine.onSent(outcomes.suspectParts(admitted), now).also { maySend ->
+            if (!maySend) outcomes.recordUnsent(endpoint, now)
+        }
+    }
+
+    /** Takes one request from the rate that [endpoint] named and, if it is cold, from the share of this VM. */
+    private fun takeTurn(endpoint: Endpoint, now: Long): Boolean {
+        if (!rateLimiter.admit(endpoint.incarnation, now)) return false
+        return eligibility.take(endpoint, now).also { isTaken ->
+            if (!isTaken) rateLimiter.refund(endpoint.incarnation)
         }
     }
 
@@ -236,7 +248,7 @@
     fun alternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Endpoint? {
         if (outcomes.refusalByQuarantine(admitted) != null) return null
         return (choose(admitted, candidates) as? EndpointChoice.Send)?.endpoint
-            ?.takeIf { rateLimiter.admit(it.incarnation, steadyMs()) }
+            ?.takeIf { takeTurn(it, steadyMs()) }
     }
 
     /** Returns when [admitted], turned away by an endpoint, could be served if it came again, in milliseconds. */
@@ -256,21 +268,34 @@
 
     private fun chooseNow(admitted: AdmittedRequest, candidates: EndpointCandidates): EndpointChoice {
         val now = steadyMs()
-        val all = withFittingVersion(table.ofService(admitted.service.name), admitted, candidates, now)
+        val allowed = eligibility.allowed(table.ofService(admitted.service.name), admitted.homes)
+        val all = withFittingVersion(allowed, admitted, candidates, now)
         val model = admitted.caller.demand?.let { modelKey(it.model, it.adapter) }
         val endpoints = all.filter {
             it.incarnation.id !in candidates.excluded &&
                 (model == null || !table.hasRefusedModel(it, model, now))
         }
         if (endpoints.isEmpty() && all.isNotEmpty() && model != null) return EndpointChoice.NotHeld
-        val (paused, open) = endpoints.partition { pauses.leftMs(it.incarnation, now) > 0 }
-        val choice = chooseWithinLimits(open, admitted, now)
+        val (paused, open) = endpoints.partition { waitMs(it, now) > 0 }
+        val choice = choosePreferringWarm(open, admitted, now)
         if (choice is EndpointChoice.Send || choice is EndpointChoice.Limited) return choice
         val needed = admitted.caller.demand.takeIf { admitted.service.engine != null }
-        val leftMs = paused.filter { it.canServe(needed, now) }.minOfOrNull { pauses.leftMs(it.incarnation, now) }
+        val leftMs = paused.filter { it.canServe(needed, now) }.minOfOrNull { waitMs(it, now) }
         return leftMs?.let { EndpointChoice.Paused(it) } ?: choice
     }
 
+    /** Returns the time until [endpoint] takes a request of this VM, in milliseconds. */
+    private fun waitMs(endpoint: Endpoint, now: Long) =
+        maxOf(pauses.leftMs(endpoint.incarnation, now), eligibility.waitMs(endpoint, now))
+
+    /** Chooses a cold endpoint only if no warm one can take the request now. */
+    private fun choosePreferringWarm(open: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
+        val warm = eligibility.withoutCold(open, now)
+        if (warm.size == open.size) return chooseWithinLimits(open, admitted, now)
+        val choice = chooseWithinLimits(warm.filterNot { it.isEjected(now) }, admitted, now)
+        return choice as? EndpointChoice.Send ?: chooseWithinLimits(open, admitted, now)
+    }
+
     private fun chooseWithinLimits(endpoints: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
         val (limited, free) = endpoints.partition { rateLimiter.waitMs(it.incarnation, now) > 0 }
         val choice = chooseWithoutLimit(free, admitted, now) ?: chooseAmong(free, admitted, now)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -114,7 +114,7 @@
     private fun onRefused(send: Send) {
         if (send.start.isKnownUnrun) sends.refusedOffers++
         when (val start = send.start) {
-            is SendStart.NotSent -> recorder.onNotSent(send.endpoint, start)
+            is SendStart.NotSent -> recorder.onNotSent(send, start)
             is SendStart.NoResponse -> recorder.onNoResponse(send.endpoint, start)
             is SendStart.HeadReceived -> onRefusedBy(send.endpoint, start)
             null -> Unit
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -190,6 +190,7 @@
     /** Returns whether [endpoint] ended, maybe because it began to run the request; waits for that only for a retry. */
     private suspend fun hasEndedUnder(result: SendResult, endpoint: Endpoint): Boolean {
         val events = lastExchange?.progress?.eventCount ?: 0
+        if (result.connectionEnded && result.headReceived) endpointPool.outcomes.recordConnectionLost(endpoint)
         if (!result.connectionEnded || events >= ResponseRelay.PROVEN_EVENTS) return false
         val prompt = admitted.sharedPartIds.takeIf { it.isNotEmpty() }
             ?.let { SuspectRequest(it, hasStarted = result.headReceived) }
@@ -256,7 +257,7 @@
             isSending = false
             return when (start) {
                 is SendStart.NotSent -> {
-                    recorder.onNotSent(send.endpoint, start)
+                    recorder.onNotSent(send, start)
                     SendResult(SendOutcome.NotSent, start.reason, isWithheld = start.isWithheld)
                 }
                 is SendStart.NoResponse -> onNoResponse(send.endpoint, start)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -73,7 +73,7 @@
                 headersFor(send.endpoint, lastEventId),
                 connectTimeoutMs = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS),
                 needsNewConnection = send.isRepeated,
-                guardOf(send.endpoint),
+                guardOf(send),
             ).also { send.start = it }
         }
         if (send.start == null) send.start = start
@@ -87,8 +87,10 @@
         lastEventId = lastEventId,
     )
 
-    private fun guardOf(endpoint: Endpoint) = object : SendGuard {
-        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint)
+    private fun guardOf(send: Send) = object : SendGuard {
+        private val endpoint = send.endpoint
+
+        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint, send.tracked.startedAtMs)
 
         override fun onHead(headers: EndpointResponseHeaders) {
             if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
@@ -5,6 +5,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
+import io.daisybend.platform.ColdLeft
 import io.daisybend.platform.RequestLimit
 import io.daisybend.platform.RetryAfter
 import io.daisybend.platform.isOtherInstance
@@ -17,14 +18,15 @@
     private val log: EventLog,
     private val steadyMs: () -> Long,
 ) {
-    /** Records that no byte of the request was written to [endpoint]. */
-    fun onNotSent(endpoint: Endpoint, start: SendStart.NotSent) {
-        if (!start.isWithheld) outcomes.recordUnreachable(endpoint)
-        outcomes.recordUnsent(endpoint)
+    /** Records that no byte of the request of [send] was written. */
+    fun onNotSent(send: Send, start: SendStart.NotSent) {
+        if (!start.isWithheld) outcomes.recordUnreachable(send.endpoint)
+        outcomes.recordUnsent(send.endpoint, send.tracked.startedAtMs)
     }
 
     /** Records that [endpoint] sent no valid response. */
     fun onNoResponse(endpoint: Endpoint, start: SendStart.NoResponse) {
+        if (start.connectionEnded) outcomes.recordConnectionLost(endpoint)
         if (admitted.deadlineAtMs > steadyMs() && !start.withdrawn) outcomes.recordFailure(endpoint)
     }
 
@@ -42,6 +44,7 @@
     /** Records what [endpoint] says of the requests that it wants. */
     fun onHead(endpoint: Endpoint, response: SendStart.HeadReceived) {
         recordLimit(endpoint, response)
+        recordColdLeft(endpoint, response)
         if (response.head.status == STATUS_UNAVAILABLE) recordPause(endpoint, response)
     }
 
@@ -59,6 +62,19 @@
         }
     }
 
+    private fun recordColdLeft(endpoint: Endpoint, response: SendStart.HeadReceived) {
+        when (val coldLeft = response.headers.coldLeft) {
+            is ColdLeft.Named -> outcomes.recordColdLeft(endpoint, coldLeft.leftMs)
+            is ColdLeft.Unreadable -> log.write(
+                "endpoint-cold-unreadable",
+                "request" to admitted.request.attemptId,
+                "endpoint" to endpoint.incarnation.id,
+                "value" to coldLeft.value.take(MAX_LOGGED_CHARS),
+            )
+            null -> Unit
+        }
+    }
+
     private fun recordPause(endpoint: Endpoint, response: SendStart.HeadReceived) {
         when (val retryAfter = response.headers.retryAfter) {
             is RetryAfter.Pause -> {
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -19,6 +19,7 @@
 import io.daisybend.platform.OrderAuthority
 import io.daisybend.serving.endpoint.AdapterKey
 import io.daisybend.serving.endpoint.Endpoint
+import io.daisybend.serving.endpoint.EndpointEligibility
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.EngineHoldings
 import io.daisybend.serving.endpoint.copies
@@ -74,6 +75,7 @@
     private val table: EndpointTable,
     private val fleet: FleetDemandView,
     private val rateLimiter: EndpointRateLimiter,
+    private val eligibility: EndpointEligibility,
     private val configuration: () -> RouteTable?,
     private val ownVm: String,
     private val loadWindowMs: Long,
@@ -295,7 +297,8 @@
         runsByModelKey.forEach { (key, count) -> parseAdapterKey(key)?.let { runsByAdapterKey[it] = count } }
         return EngineSnapshot(
             tracker = tracker,
-            isUsable = !endpoint.entry.isDraining && !endpoint.isEjected(now),
+            isUsable =
+            !endpoint.entry.isDraining && !endpoint.isEjected(now) && !eligibility.isEvacuated(endpoint),
             runsByModel = runsByModelKey,
             runsEndInMs = engineUses.flatMap { it.endsInMs.entries }.groupingBy { it.key }
                 .fold(0L) { longest, entry -> maxOf(longest, entry.value) },
@@ -305,6 +308,7 @@
             kvTokens = engineUses.sumOf { it.kvTokens },
             limitPerSecond = rateLimiter.limitOf(endpoint.incarnation),
             isAtLimit = rateLimiter.waitMs(endpoint.incarnation, now) > 0,
+            coldLeftMs = eligibility.coldLeftMs(endpoint, now),
         )
     }
 
@@ -320,7 +324,7 @@
         if (!tracker.shouldReadReport(now) || tracker.outstandingOrder != null) return
         val sinceRequestedMs = now - (reportRequestedAtMs[id] ?: Long.MIN_VALUE / 2)
         if (sinceRequestedMs < REPORT_INTERVAL_MS) return
-        val entry = table.find(id)?.entry ?: return
+        val entry = table.find(id)?.takeUnless(eligibility::isEvacuated)?.entry ?: return
         reportRequestedAtMs[id] = now
         scope.launch {
             val report = engineClient.report(entry, REPORT_TIMEOUT_MS)
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
@@ -26,6 +26,7 @@
     private val store: StoreClient,
     private val clocks: ClockPair,
     private val log: EventLog,
+    private val evacuationRecords: EvacuationRecords,
     private val onChange: (RouteTable) -> Unit,
 ) {
     /** Route table of the configuration in force, or null before the first configuration. */
@@ -69,9 +70,11 @@
         while (true) {
             val sentAt = clocks.read()
             val tableBefore = table
+            val evacuatedBefore = evacuationRecords.current
             val failure = if (nextOffset == null) readSnapshot() else readUpdates(nextOffset ?: 0L)
             if (failure == null) {
-                val isEmptyLongPoll = table === tableBefore && clocks.read().steadyMs - sentAt.steadyMs >= LONG_POLL_MS
+                val isUnchanged = table === tableBefore && evacuationRecords.current === evacuatedBefore
+                val isEmptyLongPoll = isUnchanged && clocks.read().steadyMs - sentAt.steadyMs >= LONG_POLL_MS
                 confirmedAt = if (isEmptyLongPoll) sentAt.plus(LONG_POLL_MS) else sentAt
                 if (!isConnected) log.write("configuration-store-regained")
                 isConnected = true
@@ -82,16 +85,20 @@
                 nextOffset = null
                 delay(RETRY_INTERVAL_MS)
             }
+            evacuationRecords.removeOverdue()
         }
     }
 
     private suspend fun readSnapshot(): StoreFailure? {
         val newest = store.readNewest(StoreTopic.OPERATOR, RESPONSE_TIMEOUT_MS).getOrElse { return it }
-        if (era.follow()) {
+        val isRestored = era.follow()
+        // A VM that starts must know the evacuations before the configuration lets it serve.
+        evacuationRecords.onSnapshot(newest.records, isRestored)
+        if (isRestored) {
             storeVersion = Long.MIN_VALUE
             log.write("configuration-store-restored", "era" to store.era)
         }
-        newest.records.forEach(::applyRecord)
+        newest.records.forEach(::applyConfiguration)
         nextOffset = newest.nextOffset
         return null
     }
@@ -111,6 +118,11 @@
     }
 
     private fun applyRecord(record: KeyedRecord) {
+        evacuationRecords.onRecord(record)
+        applyConfiguration(record)
+    }
+
+    private fun applyConfiguration(record: KeyedRecord) {
         if (record.key != CONFIGURATION_KEY) return
         val text = record.value ?: return
         val configuration = readConfiguration(text).getOrElse {
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -17,6 +17,7 @@
 import io.daisybend.platform.StoreTopic
 import io.daisybend.platform.readEndpoint
 import io.daisybend.platform.readKeyedRecord
+import io.daisybend.serving.endpoint.EndpointEntry
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.site.ClockPair
@@ -32,6 +33,7 @@
     private val log: EventLog,
     private val load: LoadMonitor,
     private val streamOrigins: StreamOrigins,
+    private val onEntry: (entry: EndpointEntry, isFirstRead: Boolean) -> Unit,
     private val onChange: () -> Unit,
 ) {
     private var nextOffset: Long? = null
@@ -142,6 +144,7 @@
         missingIds.remove(record.key)
         val old = table.find(record.key)
         val wasDraining = old?.entry?.isDraining ?: false
+        onEntry(entry, !isLoaded)
         table.put(entry, clocks.read().steadyMs)
         if (old == null || old.incarnation != entry.incarnation) {
             log.write(
--- a/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
@@ -23,6 +23,7 @@
     private val ownVm: String,
     private val ownAddress: SocketAddress,
     private val nowMs: () -> Long,
+    private val onList: (names: List<String>) -> Unit,
 ) {
     private val era = StoreEraFollower(store)
 
@@ -54,6 +55,7 @@
             log.write("vm-list-unread", "reason" to it.message)
             return false
         }
+        onList(newest.records.filter { it.value != null }.map { it.key })
         newest.records.forEach { record ->
             val text = record.value ?: return@forEach
             if (appliedRecords.put(record.key, text) == text) return@forEach
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -113,6 +113,14 @@
     @Volatile
     var isDraining = false
 
+    /** The failure domain that the list of endpoints names. */
+    @Volatile
+    var zone = "north"
+
+    /** The remaining cold time that the list of endpoints names, as JSON. */
+    @Volatile
+    var coldLeftMs = "0"
+
     /** Writes the entry of the endpoint to the list, as its heartbeats do. */
     var register: () -> Unit = {}
 
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -216,7 +216,7 @@
     }
 
     private fun register(endpoint: FakeEndpoint, port: Int, bornMs: Int) {
-        val address = """"address":"127.0.0.1:$port","zone":"north""""
+        val address = """"address":"127.0.0.1:$port","zone":"${endpoint.zone}","coldLeftMs":${endpoint.coldLeftMs}"""
         val stage = if (endpoint.isDraining) "draining" else "ready"
         val state = """"slots":6,"state":"$stage","born":$bornMs,"version":"${endpoint.version}""""
         store.put("keyed.servers", endpoint.id, """{"service":"s1",$address,$state}""")
