Name only running VMs in home regions in the directory, and bind requests to homes

Cause: the directory named peers for four report intervals, 14.6 s at 360 VMs, and counted a report as new when it was read; routes and teams may have home regions. Ruled out: a timeout below 3 s for all sizes, with which peers at 360 VMs, whose interval is 3.6 s, would never be named. Change: the age of a report is estimated from the sender's uptime, and the directory names peers up to 5,500 ms old. A process that said that it stops stays out. Other uses of reports keep their timeout. For hosts with homes the directory names VMs in the caller's region, else in the homes.

--- a/entry/src/main/kotlin/io/daisybend/entry/ControlHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/ControlHandler.kt
@@ -11,6 +11,10 @@
 import io.daisybend.platform.VmSettings
 import io.daisybend.platform.readDirectoryRequest
 import io.daisybend.platform.writeAddresses
+import io.daisybend.serving.directory.DirectoryCaller
+import io.daisybend.serving.directory.ListedVm
+import io.daisybend.serving.directory.chooseListed
+import io.daisybend.serving.endpoint.HomeRegions
 
 /** Readiness of a VM for requests. */
 internal interface Readiness {
@@ -27,6 +31,7 @@
     private val readiness: Readiness,
     private val peers: PeerTable,
     private val configuration: ConfigurationWatcher,
+    private val homeRegions: HomeRegions,
     private val metrics: Metrics,
     private val steadyMs: () -> Long,
 ) {
@@ -42,28 +47,26 @@
 
     private fun respondWithAddresses(request: DirectoryRequest.Addresses): ControlResponse {
         val now = steadyMs()
-        val others = peers.aliveReports(now).filter { !it.stopping }
+        val others = peers.directoryReports(now)
         val ownAgeMs = configuration.confirmationAgeMs()
         val lowestAgeMs = minOf(ownAgeMs, others.minOfOrNull { it.storeAgeMs } ?: Long.MAX_VALUE)
         val maxAgeMs = maxOf(MAX_USABLE_AGE_MS, lowestAgeMs + MAX_USABLE_AGE_MS)
         val usable = others.filter { it.ready && it.storeAgeMs < maxAgeMs }
-            .map { it.failureDomain to SocketAddress(it.host, it.callerPort) }
-        val own = listOf(settings.failureDomain to settings.callerAddress)
+            .map { listed(SocketAddress(it.host, it.callerPort), it.failureDomain) }
+        val own = listOf(listed(settings.callerAddress, settings.failureDomain))
             .filter { (readiness.isReady && ownAgeMs < maxAgeMs) || (usable.isEmpty() && !readiness.isStopping) }
         val candidates = usable + own
         if (candidates.isEmpty()) return ControlResponse(STATUS_UNAVAILABLE)
-        val sameDomain = candidates.filter { it.first == request.failureDomain }
-        val chosen = if (sameDomain.size >= MIN_SAME_DOMAIN_ADDRESSES) sameDomain else candidates
-        val body =
-            writeAddresses(
-                chosen.map {
-                    it.second
-                }.take(MAX_ADDRESSES),
-                minOf(ADDRESS_TTL_MS, settings.bounds.maxAddressTtlMs),
-            )
-        return ControlResponse(STATUS_OK, "application/json", body)
+        val homes = request.host?.let { host -> configuration.table?.homesOfHost(host) }
+        val choice = chooseListed(candidates, DirectoryCaller(request.failureDomain, request.region), homes)
+        metrics.recordDirectoryAnswer(choice.scope)
+        val ttlMs = minOf(ADDRESS_TTL_MS, settings.bounds.maxAddressTtlMs)
+        return ControlResponse(STATUS_OK, "application/json", writeAddresses(choice.vms.take(MAX_ADDRESSES), ttlMs))
     }
 
+    private fun listed(address: SocketAddress, failureDomain: String) =
+        ListedVm(address, failureDomain, homeRegions.regionOf(failureDomain))
+
     private companion object {
         const val STATUS_OK = 200
         const val STATUS_NOT_FOUND = 404
@@ -83,9 +86,6 @@
          */
         const val ADDRESS_TTL_MS = 2_000L
 
-        /** Minimum number of VMs in the caller's failure domain for a response that lists only these. */
-        const val MIN_SAME_DOMAIN_ADDRESSES = 2
-
         /** Callers ignore addresses beyond this number. */
         const val MAX_ADDRESSES = 64
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -236,7 +236,8 @@
         // The selector occupies a thread until it is closed.
         scope.coroutineContext.job.invokeOnCompletion { selector.close() }
         callerListener = CallerListener(listen(settings.callerAddress), scope, log) { callers.open(it, scope) }
-        val controlHandler = ControlHandler(settings, this, peers, configuration, metrics, ::steadyMs)
+        val controlHandler =
+            ControlHandler(settings, this, peers, configuration, rules.homeRegions, metrics, ::steadyMs)
         val controlServer = ControlServer(log, controlHandler::respond)
         setOf(
             settings.readinessAddress,
--- a/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Metrics.kt
@@ -3,6 +3,7 @@
  */
 package io.daisybend.entry
 
+import io.daisybend.serving.directory.DirectoryScope
 import io.daisybend.serving.site.RouteKind
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.CounterWithCallback
@@ -30,6 +31,9 @@
     private val orders = Counter.builder().name("daisybend_orders_total")
         .help("Orders to engines, by kind and answer").labelNames("order", "answer").register(registry)
 
+    private val directoryAnswers = Counter.builder().name("daisybend_directory_answers_total")
+        .help("Answers of the directory that name VMs, by where these are").labelNames("scope").register(registry)
+
     /** Requests that could not be parsed or read in time. */
     val unreadableRequests: Counter = Counter.builder().name("daisybend_unreadable_requests_total")
         .help("Requests that could not be read").register(registry)
@@ -50,6 +54,9 @@
     /** Counts an [order] to an engine by its [answer]. */
     fun recordOrder(order: String, answer: String) = orders.labelValues(order, answer).inc()
 
+    /** Counts an answer of the directory that names VMs in [scope]. */
+    fun recordDirectoryAnswer(scope: DirectoryScope) = directoryAnswers.labelValues(scope.name.lowercase()).inc()
+
     /** Registers a gauge that calls [value] on each scrape. */
     fun addGauge(name: String, help: String, value: () -> Double) {
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -231,8 +231,11 @@
         }
     }
 
-    private fun noEndpoint(admitted: AdmittedRequest) =
-        EndpointSelection.Unavailable("no endpoint of ${admitted.service.name} may be used", NO_ENDPOINT_RETRY_AFTER_MS)
+    private fun noEndpoint(admitted: AdmittedRequest): EndpointSelection.Unavailable {
+        val where = admitted.homes?.let { " in the regions $it" }.orEmpty()
+        val reason = "no endpoint of ${admitted.service.name}$where may be used"
+        return EndpointSelection.Unavailable(reason, NO_ENDPOINT_RETRY_AFTER_MS)
+    }
 
     /** Returns whether [stream] is known to have begun at [service]. */
     fun hasBegunAt(stream: String, service: String): Boolean = streamOrigins.hasBegunAt(stream, service)
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
@@ -6,6 +6,7 @@
 package io.daisybend.entry.peers
 
 import io.daisybend.platform.SocketAddress
+import io.daisybend.serving.directory.RunningVms
 import io.daisybend.serving.rates.FleetContact
 import java.util.concurrent.ConcurrentHashMap
 
@@ -37,6 +38,7 @@
 /** Peers known to this VM. */
 internal class PeerTable(private val ownVm: String, private val schedule: ReportSchedule) {
     private val peers = ConcurrentHashMap<String, Peer>()
+    private val running = RunningVms()
 
     val all: Collection<Peer> get() = peers.values
 
@@ -59,6 +61,7 @@
     /** Stores [report] unless it is outdated. */
     fun onReport(report: PeerReport, nowMs: Long): ReportEffect {
         discover(report.vm, SocketAddress(report.host, report.peerPort), nowMs)
+        running.onReport(report.vm, report.startedAtMs, report.uptimeMs, report.stopping, nowMs)
         val peer = peers[report.vm] ?: return ReportEffect.OUTDATED
         val known = peer.report
         val isSameProcess = known?.startedAtMs == report.startedAtMs
@@ -81,6 +84,13 @@
         return peers.values.filter { nowMs - it.lastReportAtMs < timeoutMs }.mapNotNull { it.report }
     }
 
+    /** Returns the newest reports of the peers that the directory may name at [nowMs]. */
+    fun directoryReports(nowMs: Long): List<PeerReport> {
+        val timeoutMs = schedule.directoryTimeoutMs(vmCount)
+        return peers.values.mapNotNull { it.report }
+            .filter { running.isRunning(it.vm, it.startedAtMs, timeoutMs, nowMs) }
+    }
+
     /** Returns whether [peer] is alive at [nowMs]. */
     fun isAlive(peer: Peer, nowMs: Long): Boolean = nowMs - peer.lastReportAtMs < schedule.aliveTimeoutMs(vmCount)
 
@@ -103,6 +113,7 @@
     /** Removes peers without reports for [EXPIRY_MS]. */
     fun removeExpired(nowMs: Long) {
         peers.values.removeIf { nowMs - maxOf(it.lastReportAtMs, it.discoveredAtMs) > EXPIRY_MS }
+        running.retain(peers.keys)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/ReportSchedule.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/ReportSchedule.kt
@@ -16,6 +16,12 @@
     /** Returns the time without reports after which a peer is not alive, in milliseconds: four reports may be lost. */
     fun aliveTimeoutMs(vmCount: Int): Long = ALIVE_INTERVALS * intervalMs(vmCount) + DELAY_MARGIN_MS
 
+    /**
+     * Returns the age of the newest report of a peer above which the directory does not name the peer, in milliseconds.
+     * In large fleets that is before the peer counts as not alive, and a peer may be left out after one lost report.
+     */
+    fun directoryTimeoutMs(vmCount: Int): Long = minOf(aliveTimeoutMs(vmCount), MAX_DIRECTORY_AGE_MS)
+
     /**
      * Returns the time without reports after which a peer may use rates that this VM does not see, in milliseconds: two
      * reports may be lost.
@@ -53,6 +59,12 @@
         private const val PAUSE_PER_VM_MS = 1L
         private const val ALIVE_INTERVALS = 4L
         private const val DELAY_MARGIN_MS = 200L
+
+        /**
+         * The platform allows the directory to name a VM for 6,000 ms after its end: the least time after which a VM is
+         * in touch, and 3 s. The rest is for the answer and the estimate of the age.
+         */
+        private const val MAX_DIRECTORY_AGE_MS = 5_500L
         private const val MUTUAL_INTERVALS = 2L
         private const val MUTUAL_MARGIN_MS = 300L
         private const val MIN_PAUSE_MS = 8L
--- a/serving/src/main/kotlin/io/daisybend/serving/site/RouteTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/site/RouteTable.kt
@@ -30,6 +30,11 @@
         return null
     }
 
+    /** Returns the regions that are homes of all routes of [host] with homes, or null if none of them has homes. */
+    public fun homesOfHost(host: String): Set<String>? = routesByHost[host.lowercase()]?.values
+        ?.map { it.homeRegions }?.filter { it.isNotEmpty() }?.takeIf { it.isNotEmpty() }
+        ?.reduce(Set<String>::intersect)
+
     /** Returns the team that holds [key], or null. */
     public fun teamFor(key: String): Team? = teamsByKey[key]
 
