--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -128,8 +128,16 @@
             val share = peers.contact(steadyMs()).unreachableShare
             storePolling.evidenceIntervalMs(peers.vmCount, share).takeIf { share > 0.0 }
         }
-    private val configuration: ConfigurationWatcher =
-        ConfigurationWatcher(store, clocks, log, storePolling, { peers.vmCount }, ::onConfigurationChanged)
+    private val rules = EndpointRules(settings, table, peers, log, metrics, ::steadyMs, ::onEndpointsChanged)
+    private val configuration: ConfigurationWatcher = ConfigurationWatcher(
+        store,
+        clocks,
+        log,
+        storePolling,
+        { peers.vmCount },
+        rules.evacuationRecords,
+        ::onConfigurationChanged,
+    )
     private val streamOrigins = StreamOrigins(hasPeers = { peers.vmCount > 1 }, requestEarlyReport = ::reportSoon)
     private val listSharing = ListSharing(
         settings.vm,
@@ -153,6 +161,7 @@
             listSharing,
             ListRelaySettings.forDrain(bounds.drainMs),
             storeRetry,
+            rules::onListed,
             ::onEndpointsChanged,
         )
     private val pauses = EndpointPauses()
@@ -170,6 +179,7 @@
         endpointRateLimiter,
         streamOrigins,
         pauses,
+        rules.eligibility,
         departures,
         stopState.deadline,
         endpointWatcher::listAgeMs,
@@ -215,6 +225,7 @@
         table,
         fleet,
         endpointRateLimiter,
+        rules.eligibility,
         configuration = { configuration.table },
         ownVm = settings.vm,
         loadWindowMs = bounds.loadWindowMs,
@@ -252,6 +263,7 @@
         SocketAddress(settings.ip, settings.peerPort),
         storeRetry,
         ::steadyMs,
+        rules::onVmsListed,
     )
     private val sequence = AtomicLong()
     private val firstReport = CompletableDeferred<Unit>()
@@ -269,7 +281,8 @@
         // The selector occupies a thread until it is closed.
         scope.coroutineContext.job.invokeOnCompletion { selector.close() }
         callerListener = CallerListener(listen(settings.callerAddress), scope, log) { callers.open(it, scope) }
-        val controlHandler = ControlHandler(settings, this, peers, configuration, metrics, ::steadyMs)
+        val controlHandler =
+            ControlHandler(settings, this, peers, configuration, rules.homeRegions, metrics, ::steadyMs)
         val controlServer = ControlServer(log, controlHandler::respond)
         setOf(
             settings.readinessAddress,
@@ -325,6 +338,7 @@
         }
 
     private fun registerGauges() {
+        rules.registerMetrics()
         metrics.addGauge("daisybend_configuration_age_seconds", "Time since the store confirmed the configuration") {
             configuration.confirmationAgeMs() / MILLIS_PER_SECOND
         }
@@ -381,10 +395,12 @@
             quarantine.removeExpired(now)
             pauses.removeEnded(now)
             departures.removeForgotten()
+            rules.maintain()
         }
     }
 
     private fun onConfigurationChanged(newTable: RouteTable) {
+        rules.configure(newTable.configuration)
         teamRateLimiter.configure(newTable.configuration.teams, steadyMs())
         endpointPool.onEndpointsChanged()
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/ConfigurationWatcher.kt
@@ -31,6 +31,7 @@
     private val log: EventLog,
     private val polling: StorePolling,
     private val vmCount: () -> Int,
+    private val evacuationRecords: EvacuationRecords,
     private val onChange: (RouteTable) -> Unit,
 ) {
     /** Route table of the configuration in force, or null before the first configuration. */
@@ -82,11 +83,13 @@
         while (true) {
             val sentAt = clocks.read()
             val tableBefore = table
+            val evacuatedBefore = evacuationRecords.current
             val longPollMs = times.longPollMs
             val failure = if (nextOffset == null) readSnapshot() else readUpdates(nextOffset ?: 0L, longPollMs)
             val tookMs = clocks.read().steadyMs - sentAt.steadyMs
             if (failure == null) {
-                val isEmptyLongPoll = table === tableBefore && tookMs >= longPollMs
+                val isUnchanged = table === tableBefore && evacuationRecords.current === evacuatedBefore
+                val isEmptyLongPoll = isUnchanged && tookMs >= longPollMs
                 confirmedAt = if (isEmptyLongPoll) sentAt.plus(longPollMs) else sentAt
                 if (!isConnected) log.write("configuration-store-regained")
                 isConnected = true
@@ -99,16 +102,20 @@
                 nextOffset = null
                 if (!isSilentPoll) delay(polling.retryDelayMs(vmCount(), Random))
             }
+            evacuationRecords.removeOverdue()
         }
     }
 
     private suspend fun readSnapshot(): StoreFailure? {
         val newest = store.readNewest(StoreTopic.OPERATOR, StorePolling.RESPONSE_TIMEOUT_MS).getOrElse { return it }
-        if (era.follow()) {
+        val isRestored = era.follow()
+        // A VM that starts must know the evacuations before the configuration lets it serve.
+        evacuationRecords.onSnapshot(newest.records, isRestored)
+        if (isRestored) {
             storeVersion = Long.MIN_VALUE
             log.write("configuration-store-restored", "era" to store.era)
         }
-        newest.records.forEach(::applyRecord)
+        newest.records.forEach(::applyConfiguration)
         nextOffset = newest.nextOffset
         return null
     }
@@ -128,6 +135,11 @@
     }
 
     private fun applyRecord(record: KeyedRecord) {
+        evacuationRecords.onRecord(record)
+        applyConfiguration(record)
+    }
+
+    private fun applyConfiguration(record: KeyedRecord) {
         if (record.key != CONFIGURATION_KEY) return
         val text = record.value ?: return
         val configuration = readConfiguration(text).getOrElse {
--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -52,6 +52,7 @@
     private val sharing: ListSharing,
     relaySettings: ListRelaySettings,
     private val retry: StoreRetry,
+    private val onEntry: (entry: EndpointEntry, isFirstRead: Boolean) -> Unit,
     private val onChange: () -> Unit,
 ) {
     /** Guards all state below: records come from own reads and from the reports of peers. */
@@ -307,6 +308,7 @@
         missingIds.remove(id)
         val old = table.find(id)
         val wasDraining = old?.entry?.isDraining ?: false
+        onEntry(entry, !isLoaded)
         table.put(entry, clocks.read().steadyMs)
         if (old == null || old.incarnation != entry.incarnation) {
             log.write(
--- a/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/VmRegistry.kt
@@ -24,6 +24,7 @@
     private val ownAddress: SocketAddress,
     private val retry: StoreRetry,
     private val nowMs: () -> Long,
+    private val onList: (names: List<String>) -> Unit,
 ) {
     private val era = StoreEraFollower(store)
 
@@ -58,6 +59,7 @@
             log.write("vm-list-unread", "reason" to it.message)
             return false
         }
+        onList(newest.records.filter { it.value != null }.map { it.key })
         newest.records.forEach { record ->
             val text = record.value ?: return@forEach
             if (appliedRecords.put(record.key, text) == text) return@forEach
