Tell waiting callers when the order duty is held again, and take over loads

Cause: while no VM held the duty, requests for a model that is held nowhere were refused after 150 ms without a time. The new holder started with nothing: no load for 5 s from its takeover, a limit of 4, and engines that were busy with loads of its predecessor counted as busy with an unknown order.

Ruled out: a shorter validity or margin for this purpose; it does not change what callers are told.

Change: DutyForecast estimates the takeover from the age of the newest record, and requests wait for it with the fastest load, or are refused at once with that time. InheritedLoads follows the announcements of holders; a successor takes over loads, limit and starts. The window of the store's rate counts from the end of the predecessor's right to order. A new holder reports at once, and peers answer with their demand.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -172,7 +172,7 @@
         DutySettings(handoverGapMs = bounds.handoverGapMs),
         log,
         { candidateRank() },
-        { orderController.reconcileSoon() },
+        ::onDutyAcquired,
         ::reportSoon,
     )
     private val orderController: OrderController = OrderController(
@@ -363,6 +363,12 @@
         endpointPool.onEndpointsChanged()
     }
 
+    /** Starts to plan, and tells the peers, which send their demand only to the holder that they know. */
+    private fun onDutyAcquired() {
+        orderController.reconcileSoon()
+        reportSoon()
+    }
+
     private fun onEndpointsChanged() {
         endpointPool.onEndpointsChanged()
         orderController.reconcileSoon()
@@ -454,6 +460,7 @@
 
     private fun onPeerReport(report: PeerReport) {
         val now = steadyMs()
+        val heldDuty = peers.find(report.vm)?.holdsDuty ?: false
         when (peers.onReport(report, now)) {
             ReportEffect.OUTDATED -> return
             ReportEffect.UPDATED -> Unit
@@ -483,6 +490,8 @@
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
+        if (report.holdsDuty && !heldDuty) peerLink.reportDemandSoon()
+        if (report.holdsDuty) orderController.onHolderReport(report.holdings, now)
         if (report.holdings.isNotEmpty()) {
             loadForecast.onHoldings(report.holdings, now)
             report.holdings.forEach { table.announce(Incarnation(it.engine, it.bornMs), it.toHoldings(), now) }
--- a/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
@@ -13,6 +13,8 @@
 import io.daisybend.entry.peers.PeerLink
 import io.daisybend.entry.peers.PeerTable
 import io.daisybend.entry.peers.QueuedDemandReport
+import io.daisybend.serving.duty.DutyContact
+import io.daisybend.serving.duty.DutyOutlook
 
 /** Components of this VM that [Fleet] reads from. */
 internal class VmComponents(
@@ -40,9 +42,14 @@
     @Volatile
     private var peerUses: PeerUses? = null
 
+    private class KnownOutlook(val outlook: DutyOutlook, val computedAtMs: Long)
+
+    @Volatile
+    private var outlook: KnownOutlook? = null
+
     override fun peerUses(): Map<String, List<EndpointUse>> {
         val now = steadyMs()
-        val known = peerUses?.takeIf { now - it.computedAtMs < MAX_PEER_USES_AGE_MS }
+        val known = peerUses?.takeIf { now - it.computedAtMs < MAX_PEER_STATE_AGE_MS }
             ?: PeerUses(peers.aliveReports(now).flatMap { it.endpoints }.groupBy { it.endpoint }, now)
                 .also { peerUses = it }
         return known.byEndpoint
@@ -62,11 +69,21 @@
     override fun loadedInMs(model: String): Long? {
         // A former holder of the duty does not hear the ends of the loads that it announced.
         val ownMs = leaseManager.currentEpoch()?.let { orderController.loadedInMs(model) }
-        return listOfNotNull(ownMs, loadForecast.loadedInMs(model, steadyMs())).minOrNull()
+        val isDutyHeld = dutyOutlook() == DutyOutlook.Held
+        return listOfNotNull(ownMs, loadForecast.loadedInMs(model, steadyMs(), isDutyHeld)).minOrNull()
     }
 
-    override fun isDutyHeld(): Boolean =
-        leaseManager.currentEpoch() != null || peers.aliveReports(steadyMs()).any { it.holdsDuty }
+    override fun dutyOutlook(): DutyOutlook {
+        val now = steadyMs()
+        outlook?.takeIf { now - it.computedAtMs < MAX_PEER_STATE_AGE_MS }?.let { return it.outlook }
+        val heard = peers.aliveReports(now)
+        val contact = DutyContact(
+            isHolderHeard = heard.any { it.holdsDuty },
+            isAnyVmHeard = heard.isNotEmpty() || peers.vmCount == 1,
+            reportIntervalMs = peers.reportIntervalMs,
+        )
+        return leaseManager.outlook(contact).also { outlook = KnownOutlook(it, now) }
+    }
 
     override fun vmCount(): Int = peers.vmCount
 
@@ -80,7 +97,7 @@
     }
 
     private companion object {
-        /** How long the combined uses of the peers are kept, in milliseconds: well below the interval of reports. */
-        const val MAX_PEER_USES_AGE_MS = 25L
+        /** How long what the peers reported is kept combined, in milliseconds: well below the interval of reports. */
+        const val MAX_PEER_STATE_AGE_MS = 25L
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -10,6 +10,7 @@
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.attempt.RetryBudget
 import io.daisybend.serving.attempt.RetryBudgetSettings
+import io.daisybend.serving.duty.DutyOutlook
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.EndpointChoice
 import io.daisybend.serving.endpoint.EndpointChooser
@@ -58,8 +59,8 @@
      */
     fun loadedInMs(model: String): Long?
 
-    /** Whether some VM holds the order duty. */
-    fun isDutyHeld(): Boolean
+    /** Returns when some VM holds the order duty. */
+    fun dutyOutlook(): DutyOutlook
 
     /** Returns the number of VMs, including this one. */
     fun vmCount(): Int
@@ -329,14 +330,15 @@
         val remainingMs = sendDeadlines.latestSendAtMs(admitted) - now
         val expectedMs = modelLoads.loadedInMs(admitted.service, model)
         if (expectedMs != null) return if (expectedMs < remainingMs) remainingMs else 0
-        return if (fleet.isDutyHeld()) remainingMs else minOf(remainingMs, waitStartedAtMs + NO_HOLDER_WAIT_MS - now)
+        val isOrderExpected = fleet.dutyOutlook() != DutyOutlook.Unknown
+        return if (isOrderExpected) remainingMs else minOf(remainingMs, waitStartedAtMs + NO_HOLDER_WAIT_MS - now)
     }
 
     private companion object {
         /** Predicted delay on engines without a limit above which engines with one are used too, in milliseconds. */
         const val MAX_UNLIMITED_DELAY_MS = 800.0
 
-        /** How long a request waits for a load while no VM gives orders, in milliseconds. */
+        /** How long a request waits for a load while it is not known when a VM will give orders, in milliseconds. */
         const val NO_HOLDER_WAIT_MS = 150L
 
         /** Interval at which waiting requests check for state changes that trigger no event, in milliseconds. */
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/HoldingsAnnouncements.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/HoldingsAnnouncements.kt
@@ -11,8 +11,13 @@
 
 /** The newest announcement of each engine; thread-safe. */
 internal class HoldingsAnnouncements {
-    /** Holdings announced at [announcedAtMs]; a load in [report] is expected to end at [loadedAtMs]. */
-    private class Announcement(val report: HoldingsReport, val announcedAtMs: Long, val loadedAtMs: Long) {
+    /** Holdings announced at [announcedAtMs]; a load in [report] has started and is expected to end at these times. */
+    private class Announcement(
+        val report: HoldingsReport,
+        val announcedAtMs: Long,
+        val loadedAtMs: Long,
+        val loadStartedAtMs: Long,
+    ) {
         fun isOverdue(nowMs: Long) = report.loading != null && nowMs >= loadedAtMs
 
         fun isCurrent(nowMs: Long) = announcedAtMs >= nowMs - LIFETIME_MS || report.loading != null
@@ -23,16 +28,21 @@
     private val byEngine = ConcurrentHashMap<String, Announcement>()
 
     /**
-     * Announces [report] at [nowMs]; its load, if any, is expected to end at [loadedAtMs]. Returns false if that was
-     * announced before.
+     * Announces [report] at [nowMs]; its load, if any, is expected to end at [loadedAtMs] and has started at
+     * [loadStartedAtMs] if an engine has accepted it. Returns false if that was announced before.
      */
-    fun announce(report: HoldingsReport, loadedAtMs: Long, nowMs: Long): Boolean {
+    fun announce(
+        report: HoldingsReport,
+        loadedAtMs: Long,
+        nowMs: Long,
+        loadStartedAtMs: Long = nowMs,
+    ): Boolean {
         val previous = byEngine[report.engine]
         val isShifted = report.loading != null &&
             previous != null &&
             abs(loadedAtMs - previous.loadedAtMs) > MIN_LOAD_SHIFT_MS
         if (previous?.report == report && !isShifted) return false
-        byEngine[report.engine] = Announcement(report, nowMs, loadedAtMs)
+        byEngine[report.engine] = Announcement(report, nowMs, loadedAtMs, loadStartedAtMs)
         return true
     }
 
@@ -45,7 +55,10 @@
             val isChanged = if (changedSinceMs != null) it.announcedAtMs >= changedSinceMs else it.isCurrent(nowMs)
             isChanged || it.isOverdue(nowMs)
         }
-        .map { it.report.copy(loadedInMs = it.loadedInMs(nowMs)) }
+        .map {
+            val load = it.report.load?.copy(agoMs = nowMs - it.loadStartedAtMs)
+            it.report.copy(loadedInMs = it.loadedInMs(nowMs), load = load)
+        }
 
     /** Returns the time until the first load of [model] ends, in milliseconds, or null if none is in progress. */
     fun loadedInMs(model: String, nowMs: Long): Long? =
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
@@ -11,8 +11,12 @@
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.StoreFailure
 import io.daisybend.platform.StoreTopic
+import io.daisybend.serving.duty.DutyContact
+import io.daisybend.serving.duty.DutyForecast
 import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutyLease
+import io.daisybend.serving.duty.DutyOutlook
+import io.daisybend.serving.duty.DutyPredecessor
 import io.daisybend.serving.duty.DutyRecord
 import io.daisybend.serving.duty.DutySettings
 import io.daisybend.serving.duty.DutyStep
@@ -32,10 +36,20 @@
 ) {
     private val lock = Any()
     private val lease = DutyLease(ownHolder, settings, clocks.read())
+    private val forecast = DutyForecast(settings)
 
     /** Returns the epoch in which this VM may send orders now, or null. */
     fun currentEpoch(): Long? = synchronized(lock) { lease.ownEpoch?.takeIf { lease.mayOrder(clocks.read()) } }
 
+    /** Returns the holder before this VM, or null. */
+    fun predecessor(): DutyPredecessor? = synchronized(lock) { lease.predecessor }
+
+    /** Returns when some VM sends orders; [contact] is what this VM hears of the holder. */
+    fun outlook(contact: DutyContact): DutyOutlook {
+        if (currentEpoch() != null) return DutyOutlook.Held
+        return forecast.outlook(synchronized(lock) { lease.succession(clocks.read()) }, contact)
+    }
+
     /** Returns the newest lease record that this VM knows, for its report to the peers. */
     fun newestRecord(): DutyReport? = synchronized(lock) {
         lease.newestRecord?.let { it.toReport() }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -13,20 +13,24 @@
 import io.daisybend.entry.Metrics
 import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.entry.peers.HoldingsReport
+import io.daisybend.entry.peers.LoadReport
 import io.daisybend.entry.peers.QueuedDemandReport
 import io.daisybend.entry.peers.parseAdapterKey
+import io.daisybend.entry.peers.toAnnouncedLoad
 import io.daisybend.platform.EngineClient
 import io.daisybend.platform.OrderAuthority
 import io.daisybend.serving.endpoint.AdapterKey
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.EngineHoldings
+import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.endpoint.copies
 import io.daisybend.serving.rates.EndpointRateLimiter
 import io.daisybend.serving.residency.ColdDemand
 import io.daisybend.serving.residency.EngineOrder
 import io.daisybend.serving.residency.EngineSnapshot
 import io.daisybend.serving.residency.EngineTracker
+import io.daisybend.serving.residency.InheritedLoads
 import io.daisybend.serving.residency.OrderAnswer
 import io.daisybend.serving.residency.PlannedOrder
 import io.daisybend.serving.residency.QueuedDemand
@@ -89,6 +93,11 @@
     private val lastRequestCounts = HashMap<String, HashMap<String, Int>>()
     private val announcements = HoldingsAnnouncements()
     private val storeLoads = StoreLoads(loadWindowMs)
+    private val inheritedLoads = InheritedLoads(loadWindowMs)
+
+    /** Loads in progress that this VM took over with its current or last epoch. */
+    @Volatile
+    private var inheritedCount = 0
     private val monitor = ResidencyMonitor(log, metrics)
     private val coldDemand = ColdDemand()
     private var modelsWithCopy: Set<String> = emptySet()
@@ -103,6 +112,14 @@
     /** Returns the time until the first load of [model] ends, in milliseconds, or null if none is in progress. */
     fun loadedInMs(model: String): Long? = announcements.loadedInMs(model, steadyMs())
 
+    /** Follows what a peer that holds the duty announces at [nowMs], to take it over as its successor. */
+    fun onHolderReport(holdings: List<HoldingsReport>, nowMs: Long) {
+        inheritedLoads.onHolderHeard(nowMs)
+        holdings.forEach {
+            inheritedLoads.onAnnounced(Incarnation(it.engine, it.bornMs), it.toAnnouncedLoad(nowMs), nowMs)
+        }
+    }
+
     /** Requests an early planning round, because an input of the planner has changed. */
     fun reconcileSoon() {
         events.trySend(OrderEvent.WakeUp)
@@ -140,18 +157,40 @@
             monitor.reset()
             return
         }
-        log.write("duty-turn", "epoch" to current, "resumed" to (current == lastEpoch))
         // The state stays valid when the same epoch resumes, since no other VM has sent orders in the meantime.
-        if (current == lastEpoch) return
+        if (current == lastEpoch) return log.write("duty-turn", "epoch" to current, "resumed" to true)
         lastEpoch = current
         trackers.clear()
         reportRequestedAtMs.clear()
         lastRequestCounts.clear()
         coldDemand.clear()
         announcements.clear()
-        storeLoads.restart(steadyMs(), hasPredecessor = current != FIRST_EPOCH)
+        takeOver(current)
     }
 
+    /** Takes over the loads that the last holder announced; each engine's own is taken with its first tracker. */
+    private fun takeOver(epoch: Long) {
+        val now = steadyMs()
+        val predecessor = leaseManager.predecessor()
+        val loads = predecessor?.let { inheritedLoads.predecessorLoads(it.rightEndedAtMs, shortestStoreLoadMs()) }
+        loads?.let(storeLoads::succeed)
+        inheritedCount = inheritedLoads.inProgress(now)
+        log.write(
+            "duty-turn",
+            "epoch" to epoch,
+            "resumed" to false,
+            "predecessor" to predecessor?.holder?.toString(),
+            "sinceItsRightMs" to predecessor?.let { now - it.rightEndedAtMs },
+            "inheritedLoads" to inheritedCount,
+            "inheritedStarts" to loads?.startedAtMs?.size,
+            "unheardStarts" to loads?.unheardStarts,
+            "storeLoadLimit" to storeLoads.limit,
+        )
+    }
+
+    private fun shortestStoreLoadMs(): Long = configuration()?.configuration?.services?.values
+        ?.flatMap { it.engine?.models?.values.orEmpty() }?.minOfOrNull { it.coldLoadMs } ?: 0
+
     private fun handle(event: OrderEvent) {
         when (event) {
             is OrderEvent.Answered -> onAnswered(event)
@@ -221,9 +260,16 @@
             models = models.mapValues { (_, held) -> held.adapters },
             loading = tracker.announcedModel(),
             loadedInMs = 0,
+            load = runningLoad?.let {
+                if (it.isPredictable) {
+                    LoadReport(agoMs = 0)
+                } else {
+                    LoadReport(0, fromStore = true, concurrent = it.concurrentStoreLoads, limit = storeLoads.limit)
+                }
+            },
         )
         val loadedAtMs = runningLoad?.expectedAtMs ?: tracker.pendingLoad?.readyAtMs ?: now
-        if (!announcements.announce(report, loadedAtMs, now)) return
+        if (!announcements.announce(report, loadedAtMs, now, runningLoad?.startedAtMs ?: now)) return
         table.announce(tracker.incarnation, tracker.holdings.copy(models = models), now)
         fleet.announceSoon()
     }
@@ -311,6 +357,16 @@
     private fun newTracker(endpoint: Endpoint, holdings: EngineHoldings, engineSpec: EngineSpec): EngineTracker {
         val tracker = EngineTracker(endpoint.incarnation, holdings, engineSpec)
         tracker.requireReport()
+        inheritedLoads.take(endpoint.incarnation, steadyMs())?.let {
+            tracker.inherit(it, steadyMs())
+            log.write(
+                "load-inherited",
+                "engine" to endpoint.incarnation.id,
+                "model" to it.model,
+                "accepted" to (it.accepted != null),
+                "expectedInMs" to it.expectedAtMs - steadyMs(),
+            )
+        }
         trackers[endpoint.incarnation.id] = tracker
         return tracker
     }
@@ -386,9 +442,6 @@
     }
 
     private companion object {
-        /** The first epoch; no other holder has sent orders before it. */
-        const val FIRST_EPOCH = 1L
-
         /** Interval between checks without the lease, in milliseconds: an event tells when it is taken. */
         const val IDLE_INTERVAL_MS = 1_000L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/LoadForecast.kt
@@ -8,7 +8,8 @@
 
 /** Announced loads by engine, while [isListed] returns true for the engine; thread-safe. */
 internal class LoadForecast(private val isListed: (String) -> Boolean) {
-    private data class ExpectedLoad(val model: String, val endsAtMs: Long)
+    /** An engine executes the load unless it [needsOrder], which only a holder of the duty can send. */
+    private data class ExpectedLoad(val model: String, val endsAtMs: Long, val needsOrder: Boolean)
 
     private val loadsByEngine = ConcurrentHashMap<String, ExpectedLoad>()
 
@@ -17,13 +18,17 @@
         if (held.loading == null) {
             loadsByEngine.remove(held.engine)
         } else {
-            loadsByEngine[held.engine] = ExpectedLoad(held.loading, nowMs + held.loadedInMs)
+            loadsByEngine[held.engine] = ExpectedLoad(held.loading, nowMs + held.loadedInMs, held.load == null)
         }
     }
 
-    /** Returns the time until the first load of [model] ends, in milliseconds, or null if no load is known. */
-    fun loadedInMs(model: String, nowMs: Long): Long? = loadsByEngine
+    /**
+     * Returns the time until the first load of [model] ends, in milliseconds, or null if no load is known. While no VM
+     * sends orders, only loads that engines execute count.
+     */
+    fun loadedInMs(model: String, nowMs: Long, isDutyHeld: Boolean = true): Long? = loadsByEngine
         .filter { (engine, load) -> load.model == model && !isOverdue(load, nowMs) && isListed(engine) }
+        .filter { (_, load) -> isDutyHeld || !load.needsOrder }
         .minOfOrNull { (_, load) -> (load.endsAtMs - nowMs).coerceAtLeast(0) }
 
     /** Removes loads whose end was not announced in time, because the report was lost or the holder has ended. */
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -15,6 +15,8 @@
 import io.daisybend.serving.quarantine.SuspectRequest
 import io.daisybend.serving.rates.BucketUse
 import io.daisybend.serving.rates.EndpointLimitUse
+import io.daisybend.serving.residency.AcceptedLoad
+import io.daisybend.serving.residency.AnnouncedLoad
 import io.daisybend.serving.stream.SoftwareVersion
 import io.daisybend.serving.stream.StreamOrigin
 import kotlinx.serialization.SerialName
@@ -54,6 +56,18 @@
     val waitedMs: Long,
 )
 
+/**
+ * A load that an engine has accepted [agoMs] before the report: whether it is [fromStore], the loads from the store
+ * that were under way at its start with it ([concurrent], 0 if not known), and the [limit] of the holder on those.
+ */
+@Serializable
+internal data class LoadReport(
+    val agoMs: Long,
+    val fromStore: Boolean = false,
+    val concurrent: Int = 0,
+    val limit: Int = 0,
+)
+
 /** Holdings of an engine, reported by the holder of the order duty. */
 @Serializable
 internal data class HoldingsReport(
@@ -63,6 +77,8 @@
     val models: Map<String, Set<String>>,
     val loading: String?,
     val loadedInMs: Long,
+    /** The load of [loading], or null while its order is still to be sent. */
+    val load: LoadReport? = null,
 )
 
 /** A request that an engine had hardly answered when it ended. */
@@ -161,6 +177,13 @@
 internal fun HoldingsReport.toHoldings(): EngineHoldings =
     EngineHoldings(orderCount, models.mapValues { (name, adapters) -> HeldModel(name, adapters) })
 
+/** Returns the announced load, received at [nowMs], or null if none is in progress. */
+internal fun HoldingsReport.toAnnouncedLoad(nowMs: Long): AnnouncedLoad? {
+    val model = loading ?: return null
+    val accepted = load?.let { AcceptedLoad(nowMs - it.agoMs, it.fromStore, it.concurrent, it.limit) }
+    return AnnouncedLoad(model, nowMs + loadedInMs, accepted)
+}
+
 /** Returns the reports of these uses. */
 internal fun Map<Incarnation, EndpointLimitUse>.toReports(): List<EndpointLimitReport> = map { (endpoint, limit) ->
     EndpointLimitReport(
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
@@ -43,6 +43,9 @@
     /** Number of VMs, including this one. */
     val vmCount: Int get() = peers.size + 1
 
+    /** Interval of regular reports, in milliseconds. */
+    val reportIntervalMs: Long get() = schedule.intervalMs(vmCount)
+
     /** How long a change is contained in regular reports, in milliseconds. */
     val repeatWindowMs: Long get() = schedule.repeatWindowMs(vmCount)
 
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -35,6 +35,12 @@
     val candidateStaggerMs: Long = 120,
 )
 
+/**
+ * The [holder] before this one, null if its record could not be read, whose orders had arrived by [rightEndedAtMs] on
+ * the monotonic clock of this VM, in milliseconds.
+ */
+public data class DutyPredecessor(val holder: DutyHolder?, val rightEndedAtMs: Long)
+
 /** The action that the lease requests. */
 public sealed interface DutyStep {
     /** Do nothing now. */
@@ -65,6 +71,10 @@
     private var lastAppendAt: ClockReading? = null
     private var isCallInFlight = false
     private var isStoreFailing = false
+
+    /** The holder before this process, if it holds the lease or held it. */
+    public var predecessor: DutyPredecessor? = null
+        private set
     private var attemptedOffset = -1L
     private var firstAttemptAt = startedAt
 
@@ -181,6 +191,13 @@
         return maxOf(renewalInMs, requiredQuietMs(rank) - (now.steadyMs - learnedAt.steadyMs))
     }
 
+    /** Returns when the first candidate may take the duty, as seen at [now], or null if this VM knows no record. */
+    public fun succession(now: ClockReading): DutySuccession? {
+        if (newest == null) return null
+        val recordAgeMs = now.steadyMs - learnedAt.steadyMs
+        return DutySuccession(recordAgeMs, requiredQuietMs(rank = 0) - recordAgeMs)
+    }
+
     /** Returns how long no new record must be seen before the candidate with [rank] may append, in milliseconds. */
     private fun requiredQuietMs(rank: Int): Long {
         val waitMs =
@@ -211,6 +228,7 @@
         val record = DutyRecord(own, epoch, offset)
         if (!record.isOfCurrentEra) return false
         val hasStarted = ownEpoch != epoch || validFrom == null
+        if (ownEpoch != epoch) predecessor = predecessorAt(sentAt, epoch)
         newest = record
         nextOffset = offset + 1
         isLogKnown = true
@@ -220,6 +238,15 @@
         return hasStarted
     }
 
+    /** Returns the holder before the record of [epoch] that this VM sent at [sentAt], null if it is the first of all. */
+    private fun predecessorAt(sentAt: ClockReading, epoch: Long): DutyPredecessor? {
+        if (epoch == FIRST_EPOCH) return null
+        // The newest record was written before this VM learned of it, and no candidate appends while it is valid.
+        val rightEndedAtMs =
+            minOf(learnedAt.steadyMs + settings.validityMs, sentAt.steadyMs + settings.clockMarginMs)
+        return DutyPredecessor(newest?.holder, rightEndedAtMs)
+    }
+
     /** Records that the log was read at [now] in [readEra]: it holds [records] and ends at [end]. */
     public fun onLogRead(records: List<DutyRecord>, end: Long, readEra: Long, now: ClockReading) {
         isCallInFlight = false
@@ -270,5 +297,8 @@
     private companion object {
         /** Time to wait for a report of a holder before the first append, in milliseconds: two report intervals. */
         const val INITIAL_WAIT_MS = 600L
+
+        /** The first epoch; no other holder has sent orders before it. */
+        const val FIRST_EPOCH = 1L
     }
 }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -305,6 +305,27 @@
         }
     }
 
+    /**
+     * Takes over [load], which the last holder of the order duty announced, at [nowMs], and requires a report: the load
+     * may have ended, and the holder may have sent further orders.
+     */
+    public fun inherit(load: AnnouncedLoad, nowMs: Long) {
+        requireReport()
+        val accepted = load.accepted
+        if (accepted == null) {
+            pendingLoad = PendingLoad(load.model, load.expectedAtMs)
+        } else if (load.model !in holdings.models) {
+            changedAtMs = nowMs
+            runningLoad = RunningLoad(
+                load.model,
+                load.expectedAtMs,
+                accepted.startedAtMs,
+                isPredictable = !accepted.isFromStore,
+                accepted.concurrentStoreLoads,
+            )
+        }
+    }
+
     /** Requires a report before the next order. */
     public fun requireReport() {
         needsReport = true
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/StoreConcurrency.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/StoreConcurrency.kt
@@ -19,6 +19,12 @@
     private var unconfirmed: SlowedLoad? = null
     private var loweredAtMs: Long? = null
 
+    /** Adopts the [limit] that the last holder of the order duty learned from its loads. */
+    fun adopt(limit: Int) {
+        this.limit = limit
+        unconfirmed = null
+    }
+
     /**
      * Records that a load ended at [nowMs]: it started as one of [concurrent] loads, took [tookMs], and takes
      * [fullSpeedMs] beside no others.
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/StoreLoads.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/StoreLoads.kt
@@ -5,17 +5,17 @@
 package io.daisybend.serving.residency
 
 /** Limits the loads from the weight store, with the rate over [windowMs] milliseconds; not thread-safe. */
-public class StoreLoads(private val windowMs: Long) {
-    private var limiter = StoreLoadLimiter(windowMs)
+public class StoreLoads(windowMs: Long) {
+    private val limiter = StoreLoadLimiter(windowMs)
     private val concurrency = StoreConcurrency()
 
     /** The loads that may be under way together. */
     public val limit: Int get() = concurrency.limit
 
-    /** Forgets the loads that were started; a new holder with a predecessor starts none for one window from [nowMs]. */
-    public fun restart(nowMs: Long, hasPredecessor: Boolean) {
-        limiter = StoreLoadLimiter(windowMs)
-        if (hasPredecessor) limiter.assumeWindowUsed(nowMs)
+    /** Counts the loads of the last holder beside those that this VM started, and adopts the limit that it learned. */
+    public fun succeed(predecessor: PredecessorLoads) {
+        limiter.inherit(predecessor)
+        predecessor.limit?.let(concurrency::adopt)
     }
 
     /** Returns the loads of [engines] that are under way at [nowMs], or may be. */
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
@@ -240,10 +240,10 @@
 })
 
 class StoreLoadLimiterTest : FunSpec({
-    test("loads stay within the rate in every window, and a new holder starts none in its first window") {
+    test("loads stay within the rate in every window, and a new holder that heard nothing starts none in its first window") {
         val random = Random(4)
         val limiter = StoreLoadLimiter(windowMs = 5_000)
-        limiter.assumeWindowUsed(0)
+        limiter.inherit(PredecessorLoads(rightEndedAtMs = 0))
         val startedAtMs = ArrayList<Long>()
         for (nowMs in 0L until 60_000L step 50) {
             if (limiter.availableLoads(nowMs, 1.6) > 0 && random.nextBoolean()) {
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/StoreLoadsTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/StoreLoadsTest.kt
@@ -29,12 +29,26 @@
         loads.allowance(emptyList(), loadsPerSecond = 1.0, nowMs = 0).starts shouldBe 2
     }
 
-    test("a new holder with a predecessor starts no load for one window, and keeps what it has learned") {
+    test("a new holder that heard nothing starts no load for one window from the end of the last right to order") {
         val loads = StoreLoads(windowMs = 5_000)
         val slowed = RunningLoad("m1", 8_000, startedAtMs = 0, isPredictable = false, concurrentStoreLoads = 4)
         repeat(2) { loads.onEnded(slowed, coldLoadMs = 8_000, nowMs = 16_300) }
-        loads.restart(nowMs = 20_000, hasPredecessor = true)
+        loads.succeed(PredecessorLoads(rightEndedAtMs = 20_000))
         loads.allowance(emptyList(), 10.0, nowMs = 24_999) shouldBe StoreLoadAllowance(starts = 0, concurrent = 2)
         loads.allowance(emptyList(), 10.0, nowMs = 25_000) shouldBe StoreLoadAllowance(starts = 50, concurrent = 2)
     }
+
+    // A new holder started no load for 5 s from its takeover, although its predecessor had hardly started any.
+    test("a new holder counts the loads that it knows, what may have started unheard, and its own earlier ones") {
+        val loads = StoreLoads(windowMs = 5_000)
+        loads.onSent(emptyList(), nowMs = 19_000)
+        loads.succeed(PredecessorLoads(20_000, startedAtMs = listOf(16_000, 19_500), unheardStarts = 16, limit = 3))
+        loads.limit shouldBe 3
+        // At a low rate the predecessor can't have started more than the rate allowed.
+        loads.allowance(emptyList(), 2.0, nowMs = 20_500).starts shouldBe 0
+        loads.allowance(emptyList(), 10.0, nowMs = 20_500).starts shouldBe 50 - 1 - 2 - 16
+        loads.allowance(emptyList(), 10.0, nowMs = 23_300).starts shouldBe 50 - 1 - 1 - 16
+        loads.allowance(emptyList(), 10.0, nowMs = 24_999).starts shouldBe 50 - 16
+        loads.allowance(emptyList(), 10.0, nowMs = 25_000).starts shouldBe 50
+    }
 })
