Let a holder that stops give up the order duty for good

Cause: after an orderly stop the candidates waited for the validity of the last record (1,700 ms) beside the gap, although its process had ended.

Ruled out: a lease record that says so, which builds before this one can't read; giving up at SIGTERM, since the next process of the VM takes over at once and is often faster than the gap.

Change: the holder reports the release at the end of its drain; candidates wait for the gap and twice the margin from that news. A gap of the duty is logged and measured on each VM.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -15,6 +15,7 @@
 import io.daisybend.entry.exchange.StopState
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.http.PooledHttpClient
+import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
 import io.daisybend.entry.peers.DutyReport
@@ -189,6 +190,7 @@
         metrics,
         ::steadyMs,
     )
+    private val dutyGaps = DutyGapMonitor(log, metrics, ::steadyMs)
     private val peerLink: PeerLink =
         PeerLink(selector, peers, reportSchedule, log, load, ::steadyMs, ::buildReport, ::onPeerReport)
 
@@ -202,7 +204,7 @@
         onBegun = ::reportSoon,
         // Another VM must wait for the handover gap before it sends orders, so this VM sends orders until it ends or
         // until its next process takes over.
-        onDrained = { leaseManager.releaseLease() },
+        onDrained = { if (leaseManager.releaseLease()) peerLink.reportNow() },
     )
 
     /** Times of the last broadcasts to the peers; each change is contained in that many. */
@@ -339,6 +341,7 @@
             quarantine.removeExpired(now)
             pauses.removeEnded(now)
             departures.removeForgotten()
+            dutyGaps.observe(fleet.dutyOutlook())
         }
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
@@ -24,7 +24,7 @@
     private val log: EventLog,
     private val steadyMs: () -> Long,
     private val onBegun: () -> Unit,
-    private val onDrained: () -> Unit,
+    private val onDrained: suspend () -> Unit,
 ) {
     private val ended = CompletableDeferred<Unit>()
 
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
@@ -41,6 +41,9 @@
     /** Returns the epoch in which this VM may send orders now, or null. */
     fun currentEpoch(): Long? = synchronized(lock) { lease.ownEpoch?.takeIf { lease.mayOrder(clocks.read()) } }
 
+    /** Returns whether the holder before was this process, in an earlier era of the store. */
+    fun succeedsItself(): Boolean = predecessor()?.holder == ownHolder
+
     /** Returns the holder before this VM, or null. */
     fun predecessor(): DutyPredecessor? = synchronized(lock) { lease.predecessor }
 
@@ -52,7 +55,7 @@
 
     /** Returns the newest lease record that this VM knows, for its report to the peers. */
     fun newestRecord(): DutyReport? = synchronized(lock) {
-        lease.newestRecord?.let { it.toReport() }
+        lease.newestRecord?.let { it.toReport().copy(released = lease.isNewestReleased) }
     }
 
     /** Returns the renewal that peers should append for this VM, or null. */
@@ -66,6 +69,7 @@
             val now = clocks.read()
             val couldOrder = lease.mayOrder(now)
             lease.onPeerRecord(record, now)
+            if (report.released) lease.onReleased(record.epoch, now)
             !couldOrder && lease.mayOrder(now)
         }
         if (isLeaseResumed) onAcquired()
@@ -95,8 +99,12 @@
 
     private fun DutyRecord.toReport() = DutyReport(holder.toString(), epoch, offset)
 
-    /** Stops sending orders in the current epoch. */
-    fun releaseLease() = synchronized(lock) { lease.release() }
+    /** Gives up the duty for good; returns whether this VM held it, so that the peers must be told. */
+    fun releaseLease(): Boolean {
+        val wasHeld = synchronized(lock) { lease.release(clocks.read()) }
+        if (wasHeld) log.write("duty-released", "epoch" to newestRecord()?.epoch)
+        return wasHeld
+    }
 
     /** Renews or tries to acquire the lease until the coroutine is cancelled. */
     suspend fun run() {
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -100,6 +100,14 @@
     private var inheritedCount = 0
     private val monitor = ResidencyMonitor(log, metrics)
     private val coldDemand = ColdDemand()
+
+    init {
+        metrics.addGauge(
+            "daisybend_duty_inherited_loads",
+            "Loads in progress that this VM took over when it last took the duty",
+        ) { inheritedCount.toDouble() }
+    }
+
     private var modelsWithCopy: Set<String> = emptySet()
     private var knownEngines: Set<String> = emptySet()
     private var endpointsChangedAtMs = 0L
@@ -164,6 +172,8 @@
         reportRequestedAtMs.clear()
         lastRequestCounts.clear()
         coldDemand.clear()
+        // No peer announced what this process ordered itself, which holds in a new era of the store.
+        if (leaseManager.succeedsItself()) onHolderReport(announcements.reports(null, steadyMs()), steadyMs())
         announcements.clear()
         takeOver(current)
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -57,6 +57,9 @@
     /** Peers ignore a report that overtakes a later one, so reports are built and sent one after the other. */
     private val sending = Mutex()
 
+    @Volatile
+    private var socket: BoundDatagramSocket? = null
+
     /** Sends a report to all peers before the next regular one is due. */
     fun reportSoon() {
         broadcastRequested.trySend(Unit)
@@ -72,9 +75,16 @@
         uninformedPeers.trySend(vm)
     }
 
+    /** Sends a report to all peers at once, for a VM that is about to end; gives up after [LAST_REPORT_MS]. */
+    suspend fun reportNow() {
+        val socket = socket ?: return
+        withTimeoutOrNull(LAST_REPORT_MS) { broadcast(socket) }
+    }
+
     /** Starts sending and receiving at [host]:[port]. */
     suspend fun start(scope: CoroutineScope, host: String, port: Int) {
         val socket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
+        this.socket = socket
         scope.launch { receiveLoop(socket) }
         scope.launch { broadcastLoop(socket) }
         scope.launch {
@@ -161,6 +171,9 @@
         /** Recipients that share one encoding of a report. */
         const val GROUP_SIZE = 8
 
+        /** Time for the last report of a VM that ends, in milliseconds: it adds to the time of a stop. */
+        const val LAST_REPORT_MS = 100L
+
         /** Pause after a failed receive, in milliseconds. */
         const val RECEIVE_RETRY_MS = 8L
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -29,9 +29,14 @@
 @Serializable
 internal data class TeamUseReport(val team: String, val admitted: Double, val level: Double)
 
-/** The newest lease record of the order duty that the sender knows. */
+/** The newest lease record of the order duty that the sender knows; its holder may have given up the duty for good. */
 @Serializable
-internal data class DutyReport(val holder: String, val epoch: Long, val offset: Long)
+internal data class DutyReport(
+    val holder: String,
+    val epoch: Long,
+    val offset: Long,
+    val released: Boolean = false,
+)
 
 /** Current use of an endpoint by requests of the sender. */
 @Serializable
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -13,6 +13,9 @@
  * While its own appends to the store fail, it asks its peers to append the renewal. The validity of a record that a
  * peer appended counts from the first attempt of the holder for that offset.
  *
+ * A holder that stops gives up the duty for good and tells its peers. They need not wait for the validity of its newest
+ * record then, since the process sends no order any more, even if a renewal of it still succeeds.
+ *
  * When the store comes back from an older copy, its era rises: records are gone and offsets are given out again, so an
  * append at an offset of an earlier era proves nothing. Each VM then reads where the log ends. The holder may go on at
  * once, if its newest record is too young for a successor; all others wait as if they had seen a new record.
@@ -33,7 +36,13 @@
     val clockMarginMs: Long = 300,
     /** Delay between the attempts of successive candidates, in milliseconds: longer than an append takes. */
     val candidateStaggerMs: Long = 120,
-)
+) {
+    /**
+     * Time after the news that a holder has given up the duty until a candidate may append, in milliseconds. The margin
+     * counts twice, as it does around the end of a record's validity.
+     */
+    val releasedQuietMs: Long get() = handoverGapMs + 2 * clockMarginMs
+}
 
 /**
  * The [holder] before this one, null if its record could not be read, whose orders had arrived by [rightEndedAtMs] on
@@ -71,6 +80,15 @@
     private var lastAppendAt: ClockReading? = null
     private var isCallInFlight = false
     private var isStoreFailing = false
+    private var hasReleased = false
+
+    private class Release(val epoch: Long, val learnedAt: ClockReading)
+
+    /** The newest epoch whose holder has given up the duty for good, as far as this VM knows. */
+    private var release: Release? = null
+
+    /** Whether the holder of the newest record has given up the duty for good. */
+    public val isNewestReleased: Boolean get() = newest != null && newest?.epoch == release?.epoch
 
     /** The holder before this process, if it holds the lease or held it. */
     public var predecessor: DutyPredecessor? = null
@@ -105,6 +123,8 @@
         // In the first era the log has all records; in a later one a VM that starts does not know who may still order.
         if (known == null && newEra <= FIRST_STORE_ERA) return false
         nextOffset = null
+        // Who took the duty after a release is not known when records are gone.
+        if (release?.epoch != ownEpoch) release = null
         attemptedOffset = -1
         lastAppendAt = null
         isLogKnown = true
@@ -165,12 +185,11 @@
 
     /** Returns the action to take at [now]; [rank] is the position of this VM among the candidates, 0 first. */
     public fun nextStep(now: ClockReading, rank: Int): DutyStep {
-        if (isCallInFlight) return DutyStep.Wait
+        if (isCallInFlight || hasReleased) return DutyStep.Wait
         val sinceAppendMs = lastAppendAt?.let { now.ageOf(it) } ?: Long.MAX_VALUE
         if (sinceAppendMs < settings.renewalIntervalMs) return DutyStep.Wait
         val offset = nextOffset ?: return DutyStep.ReadLog
-        val isQuietLongEnough = now.steadyMs - learnedAt.steadyMs >= requiredQuietMs(rank)
-        return if (isHolder(now) || isQuietLongEnough) DutyStep.Append(offset) else DutyStep.Wait
+        return if (isHolder(now) || quietLeftMs(now, rank) <= 0) DutyStep.Append(offset) else DutyStep.Wait
     }
 
     /**
@@ -188,14 +207,22 @@
         val sinceAppendMs = lastAppendAt?.let { now.ageOf(it) } ?: Long.MAX_VALUE
         val renewalInMs = settings.renewalIntervalMs - sinceAppendMs.coerceAtMost(settings.renewalIntervalMs)
         if (nextOffset == null || isHolder(now)) return renewalInMs
-        return maxOf(renewalInMs, requiredQuietMs(rank) - (now.steadyMs - learnedAt.steadyMs))
+        return maxOf(renewalInMs, quietLeftMs(now, rank))
     }
 
     /** Returns when the first candidate may take the duty, as seen at [now], or null if this VM knows no record. */
     public fun succession(now: ClockReading): DutySuccession? {
         if (newest == null) return null
         val recordAgeMs = now.steadyMs - learnedAt.steadyMs
-        return DutySuccession(recordAgeMs, requiredQuietMs(rank = 0) - recordAgeMs)
+        return DutySuccession(recordAgeMs, quietLeftMs(now, rank = 0))
+    }
+
+    /** Returns how much longer no new record must be seen before the candidate with [rank] may append. */
+    private fun quietLeftMs(now: ClockReading, rank: Int): Long {
+        val leftMs = requiredQuietMs(rank) - (now.steadyMs - learnedAt.steadyMs)
+        val released = release?.takeIf { isNewestReleased } ?: return leftMs
+        val requiredMs = settings.releasedQuietMs + rank * settings.candidateStaggerMs
+        return minOf(leftMs, requiredMs - (now.steadyMs - released.learnedAt.steadyMs))
     }
 
     /** Returns how long no new record must be seen before the candidate with [rank] may append, in milliseconds. */
@@ -227,6 +254,7 @@
         isStoreFailing = false
         val record = DutyRecord(own, epoch, offset)
         if (!record.isOfCurrentEra) return false
+        if (hasReleased) return false
         val hasStarted = ownEpoch != epoch || validFrom == null
         if (ownEpoch != epoch) predecessor = predecessorAt(sentAt, epoch)
         newest = record
@@ -242,8 +270,11 @@
     private fun predecessorAt(sentAt: ClockReading, epoch: Long): DutyPredecessor? {
         if (epoch == FIRST_EPOCH) return null
         // The newest record was written before this VM learned of it, and no candidate appends while it is valid.
-        val rightEndedAtMs =
-            minOf(learnedAt.steadyMs + settings.validityMs, sentAt.steadyMs + settings.clockMarginMs)
+        val rightEndedAtMs = listOfNotNull(
+            learnedAt.steadyMs + settings.validityMs,
+            release?.takeIf { isNewestReleased }?.let { it.learnedAt.steadyMs + settings.clockMarginMs },
+            sentAt.steadyMs + settings.clockMarginMs,
+        ).min()
         return DutyPredecessor(newest?.holder, rightEndedAtMs)
     }
 
@@ -288,10 +319,19 @@
         isStoreFailing = true
     }
 
-    /** Stops sending orders until the next successful append. */
-    public fun release() {
+    /** Gives up the duty at [now]: this process sends no order any more. Returns whether it had the right to order. */
+    public fun release(now: ClockReading): Boolean {
+        val couldOrder = mayOrder(now)
+        hasReleased = true
         validFrom = null
         renewedAt = null
+        if (couldOrder) ownEpoch?.let { release = Release(it, now) }
+        return couldOrder
+    }
+
+    /** Applies the news, learned at [now], that the holder of [epoch] has given up the duty. */
+    public fun onReleased(epoch: Long, now: ClockReading) {
+        if (epoch != ownEpoch && epoch > (release?.epoch ?: 0)) release = Release(epoch, now)
     }
 
     private companion object {
