--- a/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
@@ -55,7 +55,8 @@
 
     /** Returns the newest lease record that this VM knows, for its report to the peers. */
     fun newestRecord(): DutyReport? = synchronized(lock) {
-        lease.newestRecord?.let { it.toReport().copy(released = lease.isNewestReleased) }
+        // Others don't repeat the release: builds that don't know the field read no report that has it.
+        lease.newestRecord?.let { it.toReport().copy(released = lease.isNewestReleased && it.holder == ownHolder) }
     }
 
     /** Returns the renewal that peers should append for this VM, or null. */
--- a/entry/src/test/kotlin/io/daisybend/entry/orders/HoldingsAnnouncementsTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/orders/HoldingsAnnouncementsTest.kt
@@ -1,6 +1,7 @@
 package io.daisybend.entry.orders
 
 import io.daisybend.entry.peers.HoldingsReport
+import io.daisybend.entry.peers.LoadReport
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
@@ -22,6 +23,16 @@
         announcements.loadedInMs("m1", nowMs = 23_000) shouldBe null
     }
 
+    // A successor must count a load in the window in which it began, however late the announcement is repeated.
+    test("a load is announced with the time since its start, which grows until it has ended") {
+        val announcements = HoldingsAnnouncements()
+        val loading = report("m1").copy(load = LoadReport(agoMs = 0, fromStore = true))
+        announcements.announce(loading, loadedAtMs = 8_000, nowMs = 1_000, loadStartedAtMs = 900) shouldBe true
+        announcements.announce(loading, loadedAtMs = 8_000, nowMs = 2_000, loadStartedAtMs = 900) shouldBe false
+        announcements.reports(changedSinceMs = 0, nowMs = 2_000).single().load?.agoMs shouldBe 1_100
+        announcements.reports(changedSinceMs = null, nowMs = 7_000).single().load?.agoMs shouldBe 6_100
+    }
+
     test("a changed end of a load is announced, and the same holdings are not announced twice") {
         val announcements = HoldingsAnnouncements()
         announcements.announce(report("m1"), loadedAtMs = 8_000, nowMs = 0) shouldBe true
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/PeerTableTest.kt
@@ -1,7 +1,13 @@
 package io.daisybend.entry.peers
 
+import com.github.michaelbull.result.get
+import io.daisybend.kernel.decodeCbor
+import io.daisybend.kernel.encodeCbor
 import io.daisybend.platform.SocketAddress
+import io.daisybend.serving.residency.AcceptedLoad
+import io.daisybend.serving.residency.AnnouncedLoad
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 
 /** Returns a report of [vm] to the recipients [alivePeers], without any use. */
@@ -85,6 +91,29 @@
         forecast.loadedInMs("model-1", 4_500) shouldBe null
     }
 
+    // Callers waited for a load whose order nobody could send any more.
+    test("while no VM holds the duty, only loads that engines execute are forecast") {
+        val forecast = LoadForecast(isListed = { true })
+        val ordered = HoldingsReport("engine-1", 1, 1, emptyMap(), "model-1", 2_000, LoadReport(agoMs = 500))
+        val pending = HoldingsReport("engine-2", 1, 1, emptyMap(), "model-2", 2_000)
+        forecast.onHoldings(listOf(ordered, pending), 1_000)
+        forecast.loadedInMs("model-1", 1_500, isDutyHeld = false) shouldBe 1_500
+        forecast.loadedInMs("model-2", 1_500, isDutyHeld = false) shouldBe null
+        forecast.loadedInMs("model-2", 1_500) shouldBe 1_500
+    }
+
+    test("a successor reads from a report since when a load runs and what it shows of the store") {
+        val load = LoadReport(agoMs = 500, fromStore = true, concurrent = 2, limit = 3)
+        val sent = HoldingsReport("engine-1", 1, 1, emptyMap(), "model-1", 2_000, load)
+        val bytes = encodeCbor(HoldingsReport.serializer(), sent)
+        val read = decodeCbor(HoldingsReport.serializer(), bytes).get()!!
+        read.toAnnouncedLoad(10_000) shouldBe AnnouncedLoad("model-1", 12_000, AcceptedLoad(9_500, true, 2, 3))
+        read.copy(loading = null).toAnnouncedLoad(10_000) shouldBe null
+        // Every VM hears each report: a load in progress adds a bounded number of bytes, and no load adds none.
+        val withoutLoad = encodeCbor(HoldingsReport.serializer(), sent.copy(load = null))
+        (bytes.size - withoutLoad.size) shouldBeLessThan 60
+    }
+
     // The load of an engine that had crashed stayed announced for a minute, and its model was refused meanwhile.
     test("a forecast load ends with its engine") {
         val listed = hashSetOf("engine-1")
--- a/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/duty/DutyLease.kt
@@ -266,7 +266,7 @@
         return hasStarted
     }
 
-    /** Returns the holder before the record of [epoch] that this VM sent at [sentAt], null if it is the first of all. */
+    /** Returns the holder before the record of [epoch] that this VM sent at [sentAt]; null if that is the first. */
     private fun predecessorAt(sentAt: ClockReading, epoch: Long): DutyPredecessor? {
         if (epoch == FIRST_EPOCH) return null
         // The newest record was written before this VM learned of it, and no candidate appends while it is valid.
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -241,7 +241,8 @@
         val hasAcceptedOrders = report.orderCount > holdings.orderCount
         changedAtMs = nowMs
         unloadingAdapters.removeAll { it.adapter !in report.models[it.model]?.adapters.orEmpty() }
-        val loadedButUnreported = if (hasAcceptedOrders) emptyMap() else loadedButMissingIn(report)
+        val loadedButUnreported =
+            holdings.models.filterKeys { !hasAcceptedOrders && it !in report.models && it in loadedAtMs }
         val reported = unloadingAdapters.fold(report) { rest, key -> rest.withoutAdapter(key.model, key.adapter) }
         holdings = reported.copy(
             models = reported.models + loadedButUnreported,
@@ -262,9 +263,6 @@
         unansweredOrders.removeAll { nowMs - it.sentAtMs > MAX_ORDER_DELAY_MS }
     }
 
-    private fun loadedButMissingIn(report: EngineHoldings) =
-        holdings.models.filterKeys { it !in report.models && it in loadedAtMs }
-
     private fun endLoadIfReported(load: RunningLoad, report: EngineHoldings, nowMs: Long) {
         val isHeld = load.model in report.models
         if (isHeld) recordLoaded(load.model, nowMs)
--- a/serving/src/test/kotlin/io/daisybend/serving/duty/FailoverFleet.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/duty/FailoverFleet.kt
@@ -131,7 +131,10 @@
     private fun later(vm: FailoverVm, delayMs: Long, block: () -> Unit) {
         events.add(
             nowMs + delayMs to {
-                if (vm.runs(nowMs)) block() else if (!vm.isDead) later(vm, vm.frozenUntilMs - nowMs, block)
+                when {
+                    vm.runs(nowMs) -> block()
+                    !vm.isDead -> later(vm, vm.frozenUntilMs - nowMs, block)
+                }
             },
         )
     }
@@ -161,7 +164,7 @@
     /** Sends the state of [vm] to the others, which arrives after a while. */
     private fun report(vm: FailoverVm) {
         val record = vm.lease.newestRecord
-        val isReleased = vm.lease.isNewestReleased
+        val isReleased = vm.lease.isNewestReleased && record?.holder == vm.holder
         val renewal = vm.lease.renewalToDelegate(vm.read(nowMs))
         val holdsDuty = vm.lease.mayOrder(vm.read(nowMs))
         val sentAtMs = nowMs
@@ -178,7 +181,10 @@
                 loads.forEach { (engine, load) ->
                     val announced = load?.let {
                         val accepted = AcceptedLoad(
-                            nowMs - (sentAtMs - it.startedAtMs), true, it.concurrentStoreLoads, vm.storeLoads.limit,
+                            startedAtMs = nowMs - (sentAtMs - it.startedAtMs),
+                            isFromStore = true,
+                            concurrentStoreLoads = it.concurrentStoreLoads,
+                            storeLoadLimit = vm.storeLoads.limit,
                         )
                         AnnouncedLoad(it.model, nowMs + it.expectedAtMs - sentAtMs, accepted)
                     }
--- a/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/residency/EngineTrackerTest.kt
@@ -240,7 +240,7 @@
 })
 
 class StoreLoadLimiterTest : FunSpec({
-    test("loads stay within the rate in every window, and a new holder that heard nothing starts none in its first window") {
+    test("loads stay within the rate in every window, and a new holder that heard nothing starts none at first") {
         val random = Random(4)
         val limiter = StoreLoadLimiter(windowMs = 5_000)
         limiter.inherit(PredecessorLoads(rightEndedAtMs = 0))
