--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -15,6 +15,7 @@
 import io.daisybend.entry.exchange.StopState
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.http.PooledHttpClient
+import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
 import io.daisybend.entry.peers.DutyReport
@@ -216,7 +217,7 @@
         DutySettings(handoverGapMs = bounds.handoverGapMs),
         log,
         { candidateRank() },
-        { orderController.reconcileSoon() },
+        ::onDutyAcquired,
         ::reportSoon,
     )
     private val orderController: OrderController = OrderController(
@@ -234,6 +235,7 @@
         metrics,
         ::steadyMs,
     )
+    private val dutyGaps = DutyGapMonitor(log, metrics, ::steadyMs)
     private val peerLink: PeerLink =
         PeerLink(selector, peers, reportSchedule, log, load, ::steadyMs, ::buildReport, ::onPeerReport)
 
@@ -248,7 +250,7 @@
         // Another VM must wait for the handover gap before it sends orders, so this VM sends orders until it ends or
         // until its next process takes over.
         onDrained = {
-            leaseManager.releaseLease()
+            if (leaseManager.releaseLease()) peerLink.reportNow()
             storeCallLog.write()
         },
     )
@@ -396,6 +398,7 @@
             pauses.removeEnded(now)
             departures.removeForgotten()
             rules.maintain()
+            dutyGaps.observe(fleet.dutyOutlook())
         }
     }
 
@@ -421,6 +424,12 @@
         endpointPool.onEndpointsChanged()
     }
 
+    /** Starts to plan, and tells the peers, which send their demand only to the holder that they know. */
+    private fun onDutyAcquired() {
+        orderController.reconcileSoon()
+        reportSoon()
+    }
+
     private fun onEndpointsChanged() {
         endpointPool.onEndpointsChanged()
         orderController.reconcileSoon()
@@ -524,6 +533,7 @@
             val process = "${report.vm}@${report.startedAtMs}"
             endpointWatcher.onPeerReport(process, report.uptimeMs, report.endpointRecords)
         }
+        val heldDuty = peers.find(report.vm)?.holdsDuty ?: false
         when (peers.onReport(report, now)) {
             ReportEffect.OUTDATED -> return
             ReportEffect.UPDATED -> Unit
@@ -554,6 +564,8 @@
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
+        if (report.holdsDuty && !heldDuty) peerLink.reportDemandSoon()
+        if (report.holdsDuty) orderController.onHolderReport(report.holdings, now)
         if (report.holdings.isNotEmpty()) {
             loadForecast.onHoldings(report.holdings, now)
             report.holdings.forEach { table.announce(Incarnation(it.engine, it.bornMs), it.toHoldings(), now) }
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
@@ -11,8 +11,12 @@
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.StoreFailure
 import io.daisybend.platform.StoreTopic
+import io.daisybend.serving.duty.DutyContact
+import io.daisybend.serving.duty.DutyForecast
 import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutyLease
+import io.daisybend.serving.duty.DutyOutlook
+import io.daisybend.serving.duty.DutyPredecessor
 import io.daisybend.serving.duty.DutyRecord
 import io.daisybend.serving.duty.DutySettings
 import io.daisybend.serving.duty.DutyStep
@@ -32,13 +36,27 @@
 ) {
     private val lock = Any()
     private val lease = DutyLease(ownHolder, settings, clocks.read())
+    private val forecast = DutyForecast(settings)
 
     /** Returns the epoch in which this VM may send orders now, or null. */
     fun currentEpoch(): Long? = synchronized(lock) { lease.ownEpoch?.takeIf { lease.mayOrder(clocks.read()) } }
 
+    /** Returns whether the holder before was this process, in an earlier era of the store. */
+    fun succeedsItself(): Boolean = predecessor()?.holder == ownHolder
+
+    /** Returns the holder before this VM, or null. */
+    fun predecessor(): DutyPredecessor? = synchronized(lock) { lease.predecessor }
+
+    /** Returns when some VM sends orders; [contact] is what this VM hears of the holder. */
+    fun outlook(contact: DutyContact): DutyOutlook {
+        if (currentEpoch() != null) return DutyOutlook.Held
+        return forecast.outlook(synchronized(lock) { lease.succession(clocks.read()) }, contact)
+    }
+
     /** Returns the newest lease record that this VM knows, for its report to the peers. */
     fun newestRecord(): DutyReport? = synchronized(lock) {
-        lease.newestRecord?.let { it.toReport() }
+        // Others don't repeat the release: builds that don't know the field read no report that has it.
+        lease.newestRecord?.let { it.toReport().copy(released = lease.isNewestReleased && it.holder == ownHolder) }
     }
 
     /** Returns the renewal that peers should append for this VM, or null. */
@@ -52,6 +70,7 @@
             val now = clocks.read()
             val couldOrder = lease.mayOrder(now)
             lease.onPeerRecord(record, now)
+            if (report.released) lease.onReleased(record.epoch, now)
             !couldOrder && lease.mayOrder(now)
         }
         if (isLeaseResumed) onAcquired()
@@ -81,8 +100,12 @@
 
     private fun DutyRecord.toReport() = DutyReport(holder.toString(), epoch, offset)
 
-    /** Stops sending orders in the current epoch. */
-    fun releaseLease() = synchronized(lock) { lease.release() }
+    /** Gives up the duty for good; returns whether this VM held it, so that the peers must be told. */
+    fun releaseLease(): Boolean {
+        val wasHeld = synchronized(lock) { lease.release(clocks.read()) }
+        if (wasHeld) log.write("duty-released", "epoch" to newestRecord()?.epoch)
+        return wasHeld
+    }
 
     /** Renews or tries to acquire the lease until the coroutine is cancelled. */
     suspend fun run() {
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerLink.kt
@@ -93,6 +93,12 @@
         }
     }
 
+    /** Sends a report to all peers at once, for a VM that is about to end; gives up after [LAST_REPORT_MS]. */
+    suspend fun reportNow() {
+        val socket = boundSocket ?: return
+        withTimeoutOrNull(LAST_REPORT_MS) { broadcast(socket) }
+    }
+
     /** Starts sending and receiving at [host]:[port]. */
     suspend fun start(scope: CoroutineScope, host: String, port: Int) {
         val socket = aSocket(selector).udp().bind(InetSocketAddress(host, port))
@@ -183,6 +189,9 @@
         /** Recipients that share one encoding of a report. */
         const val GROUP_SIZE = 8
 
+        /** Time for the last report of a VM that ends, in milliseconds: it adds to the time of a stop. */
+        const val LAST_REPORT_MS = 100L
+
         /** Pause after a failed receive, in milliseconds. */
         const val RECEIVE_RETRY_MS = 8L
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/residency/EngineTracker.kt
@@ -241,7 +241,8 @@
         val hasAcceptedOrders = report.orderCount > holdings.orderCount
         changedAtMs = nowMs
         unloadingAdapters.removeAll { it.adapter !in report.models[it.model]?.adapters.orEmpty() }
-        val loadedButUnreported = if (hasAcceptedOrders) emptyMap() else loadedButMissingIn(report)
+        val loadedButUnreported = holdings.models.takeUnless { hasAcceptedOrders }.orEmpty()
+            .filterKeys { it !in report.models && it in loadedAtMs }
         val reported = unloadingAdapters.fold(report) { rest, key -> rest.withoutAdapter(key.model, key.adapter) }
         holdings = reported.copy(
             models = reported.models + loadedButUnreported,
@@ -262,9 +263,6 @@
         unansweredOrders.removeAll { nowMs - it.sentAtMs > MAX_ORDER_DELAY_MS }
     }
 
-    private fun loadedButMissingIn(report: EngineHoldings) =
-        holdings.models.filterKeys { it !in report.models && it in loadedAtMs }
-
     private fun endLoadIfReported(load: RunningLoad, report: EngineHoldings, nowMs: Long) {
         val isHeld = load.model in report.models
         if (isHeld) recordLoaded(load.model, nowMs)
@@ -305,6 +303,27 @@
         }
     }
 
+    /**
+     * Takes over [load], which the last holder of the order duty announced, at [nowMs], and requires a report: the load
+     * may have ended, and the holder may have sent further orders.
+     */
+    public fun inherit(load: AnnouncedLoad, nowMs: Long) {
+        requireReport()
+        val accepted = load.accepted
+        if (accepted == null) {
+            pendingLoad = PendingLoad(load.model, load.expectedAtMs)
+        } else if (load.model !in holdings.models) {
+            changedAtMs = nowMs
+            runningLoad = RunningLoad(
+                load.model,
+                load.expectedAtMs,
+                accepted.startedAtMs,
+                isPredictable = !accepted.isFromStore,
+                accepted.concurrentStoreLoads,
+            )
+        }
+    }
+
     /** Requires a report before the next order. */
     public fun requireReport() {
         needsReport = true
