Weigh the prefill time that a prefix cache saves in each choice

Cause: the choice valued affinity at 40 ms for any prompt, and a VM knew only its own sends (1 in 75) with 48 parts an engine whatever their size.

Change: PrefixCacheEstimate records by engine incarnation what all VMs sent there, bounded in tokens by the KV cache; peers report long shared parts as 8 bytes and tokens, as changes, at most 16 engines a report. A cost in milliseconds weighs queue, saved reading and displaced parts. Late responses lower the confidence. PromptCacheIndex is gone.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -9,6 +9,7 @@
 import io.daisybend.entry.exchange.EndpointDepartures
 import io.daisybend.entry.exchange.EndpointLoads
 import io.daisybend.entry.exchange.EndpointPool
+import io.daisybend.entry.exchange.PrefixCaches
 import io.daisybend.entry.exchange.EngineEndDetector
 import io.daisybend.entry.exchange.EngineRuns
 import io.daisybend.entry.exchange.RequestFingerprinter
@@ -127,6 +128,7 @@
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val stopState = StopState()
     private val endpointLoads = EndpointLoads(table, peers::vmCount, ::steadyMs)
+    private val prefixCaches = PrefixCaches(table, ::kvCapacityOf, log, ::steadyMs)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
         EndpointChooser(failureDomain = settings.failureDomain),
@@ -139,6 +141,7 @@
         streamOrigins,
         pauses,
         endpointLoads,
+        prefixCaches,
         departures,
         stopState.deadline,
         endpointWatcher::listAgeMs,
@@ -228,6 +231,9 @@
 
     private fun steadyMs(): Long = clocks.read().steadyMs
 
+    private fun kvCapacityOf(service: String): Long =
+        configuration.table?.configuration?.services?.get(service)?.engine?.kvCapacityTokens?.toLong() ?: 0L
+
     /** Starts all components in [scope]. */
     suspend fun start(scope: CoroutineScope) {
         this.scope = scope
@@ -316,6 +322,14 @@
             "Loads that endpoints stated, by how they were used",
             "use",
         ) { endpointLoads.sampleCounts }
+        metrics.addCounters(
+            "daisybend_prefix_cache_tokens_total",
+            "Prompt tokens that prefix caches were expected to save, that a choice gave up, and that were missed",
+            "result",
+        ) { prefixCaches.tokenCounts }
+        metrics.addGauge("daisybend_prefix_cache_expected_tokens", "Tokens expected in the prefix caches of engines") {
+            prefixCaches.heldTokens().toDouble()
+        }
         metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.requestsInProgress.toDouble()
         }
@@ -339,6 +353,7 @@
             val now = steadyMs()
             connectionPool.closeExpired()
             peers.removeExpired(now)
+            prefixCaches.removeUnloaded()
             endpointLoads.retainPeers(peers.aliveReports(now).mapTo(HashSet()) { it.vm })
             loadForecast.removeOverdue(now)
             val contact = peers.contact(now)
@@ -450,6 +465,7 @@
                 ReportPurpose.COMPLETE -> departures.reportAll()
                 ReportPurpose.DEMAND -> emptyList()
             }.toLeavingReports(),
+            promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
         )
     }
 
@@ -485,6 +501,7 @@
             now,
         )
         endpointLoads.onPeerReport(report)
+        prefixCaches.onPeerReport(report.promptParts)
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
         departures.onPeerReport(report.vm, report.leaving.map { Incarnation(it.endpoint, it.bornMs) })
--- a/entry/src/main/kotlin/io/daisybend/entry/EventLog.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EventLog.kt
@@ -45,6 +45,22 @@
         line.log(event)
     }
 
+    /** Writes one line at debug level for [event]; calls [fields] only if that level is on. */
+    inline fun debug(event: String, fields: () -> Array<Pair<String, Any?>>) {
+        if (isDebugEnabled) writeDebug(event, fields())
+    }
+
+    /** Whether lines at debug level are written. */
+    val isDebugEnabled: Boolean get() = logger.isDebugEnabled
+
+    /** Writes one line at debug level for [event] with [fields]; see [write]. */
+    fun writeDebug(event: String, fields: Array<Pair<String, Any?>>) {
+        if (!tryCountLine() || queueCapacity() == 0) return
+        val line = logger.atDebug().addKeyValue("vm", vm)
+        fields.forEach { (name, value) -> if (value != null) line.addKeyValue(name, value) }
+        line.log(event)
+    }
+
     private fun tryCountLine(): Boolean {
         val now = System.nanoTime() / NANOS_PER_MILLI / MILLIS_PER_SECOND
         if (currentSecond.getAndSet(now) != now) linesInSecond.set(0)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -15,7 +15,6 @@
 import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.ModelDemand
-import io.daisybend.serving.endpoint.PrefixMatch
 import io.daisybend.serving.endpoint.canServe
 import io.daisybend.serving.quarantine.CrashQuarantine
 import io.daisybend.serving.rates.EndpointRateLimiter
@@ -78,6 +77,7 @@
     private val pauses: EndpointPauses,
     /** Load of endpoints from all VMs. */
     val loads: EndpointLoads,
+    private val prefixCaches: PrefixCaches,
     departures: EndpointDepartures,
     shutdown: ShutdownDeadline,
     private val listAgeMs: () -> Long,
@@ -86,11 +86,10 @@
     private val changes = MutableStateFlow(0L)
     private val changeCount = AtomicLong()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
-    private val promptCache = PromptCacheIndex()
     private val modelLoads = ModelLoadForecast(table, fleet)
 
     /** Requests of this VM in progress at endpoints. */
-    val exchanges = ExchangeTracker(table, promptCache, loads, steadyMs)
+    val exchanges = ExchangeTracker(table, prefixCaches, loads, steadyMs)
 
     private val sendDeadlines = SendDeadlines(shutdown, exchanges, steadyMs)
 
@@ -170,6 +169,7 @@
         return when (val choice = choose(admitted, candidates)) {
             is EndpointChoice.Send ->
                 if (reserve(choice.endpoint, admitted)) {
+                    prefixCaches.onChosen(admitted.request.attemptId, choice)
                     Step.Finish(EndpointSelection.Selected(choice.endpoint))
                 } else {
                     Step.Wait(1)
@@ -306,15 +306,16 @@
         return if (engine == null || demand == null) {
             chooser.choosePlain(endpoints, load, now, loads.choiceRandom)
         } else {
+            val prefix = prefixCaches.prefixFor(admitted.service.name, demand)
             chooser.chooseEngine(
                 endpoints,
                 engine,
                 demand,
                 load,
-                { PrefixMatch(promptCache.cachedTokens(it.incarnation, demand)) },
+                { if (prefix == null) 0 else it.prefixCache.cachedTokens(prefix, now) },
                 now,
                 loads.choiceRandom,
-            )
+            ) { if (prefix == null) 0 else prefixCaches.evictedTokens(it, prefix) }
         }
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ExchangeTracker.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ExchangeTracker.kt
@@ -7,21 +7,33 @@
 import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.endpoint.Endpoint
+import io.daisybend.serving.endpoint.EndpointLoad
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.ModelDemand
 import io.daisybend.serving.endpoint.Reservation
 import io.daisybend.serving.endpoint.RunDurations
 import java.util.concurrent.ConcurrentHashMap
 
+/** What was known of the first event of a request when it was sent. */
+internal class FirstEventExpectation(
+    /** Tokens that the endpoint has to read first. */
+    val tokensToRead: Long,
+    val cachedTokens: Int,
+    /** Predicted time to the first event, in milliseconds. */
+    val firstEventMs: Double,
+    /** Reading time that the prefix cache is expected to save, 0 if the request may have to wait, in milliseconds. */
+    val savedMs: Double,
+    /** Whether the first event will show how fast the endpoint reads. */
+    val showsPrefillRate: Boolean,
+)
+
 /** A request with [demand] in progress at [endpoint] since [startedAtMs], and the load reserved for it. */
 internal class TrackedExchange(
     val endpoint: Endpoint,
     val reservation: Reservation,
     val demand: ModelDemand?,
     val startedAtMs: Long,
-    /** Tokens that the endpoint had to read first, and whether nothing else was expected to delay the first event. */
-    val tokensToRead: Long,
-    val showsPrefillRate: Boolean,
+    val expectation: FirstEventExpectation,
 ) {
     /** The events received. */
     val progress = EventProgress()
@@ -37,7 +49,7 @@
 /** Requests of this VM in progress at endpoints. */
 internal class ExchangeTracker(
     private val table: EndpointTable,
-    private val promptCache: PromptCacheIndex,
+    private val prefixCaches: PrefixCaches,
     private val loads: EndpointLoads,
     private val steadyMs: () -> Long,
 ) {
@@ -46,7 +58,7 @@
 
     /** Records the start of an exchange at [endpoint] and reserves its load. */
     fun begin(endpoint: Endpoint, demand: ModelDemand?): TrackedExchange {
-        val cached = demand?.let { promptCache.cachedTokens(endpoint.incarnation, it) } ?: 0
+        val cached = demand?.let { prefixCaches.onSent(endpoint, it) } ?: 0
         val promptTokens = demand?.promptTokens ?: 0
         val reservation = Reservation(
             promptTokens = (promptTokens - cached).coerceAtLeast(0).toLong(),
@@ -54,17 +66,27 @@
         )
         val before = loads.loadOf(endpoint, steadyMs())
         table.onExchangeStarted(endpoint, reservation)
-        demand?.let { promptCache.recordPrompt(endpoint.incarnation, it) }
-        val isIdle = before.inFlight < endpoint.entry.slots && before.waiting == 0.0 &&
-            before.pendingPromptTokens * MAX_OTHER_SHARE < reservation.promptTokens
-        return TrackedExchange(
-            endpoint,
-            reservation,
-            demand,
-            steadyMs(),
-            tokensToRead = before.pendingPromptTokens + reservation.promptTokens,
-            showsPrefillRate = isIdle && cached * MAX_OTHER_SHARE < promptTokens,
-        ).also(activeExchanges::add)
+        val expectation = expectationOf(endpoint, before, reservation.promptTokens, cached)
+        return TrackedExchange(endpoint, reservation, demand, steadyMs(), expectation).also(activeExchanges::add)
+    }
+
+    private fun expectationOf(
+        endpoint: Endpoint,
+        load: EndpointLoad,
+        ownTokens: Long,
+        cachedTokens: Int,
+    ): FirstEventExpectation {
+        val isFree = load.inFlight < endpoint.entry.slots && load.waiting < MIN_WAITING
+        val msPerToken = load.pace / (load.prefillTokensPerMs ?: endpoint.loadEstimate.rates.prefillTokensPerMs.value)
+        val tokensToRead = load.pendingPromptTokens + ownTokens
+        val otherTokens = load.pendingPromptTokens + cachedTokens
+        return FirstEventExpectation(
+            tokensToRead,
+            cachedTokens,
+            firstEventMs = tokensToRead * msPerToken + load.inFlight * load.pace,
+            savedMs = if (isFree) cachedTokens * msPerToken else 0.0,
+            showsPrefillRate = isFree && otherTokens * MAX_OTHER_SHARE < ownTokens,
+        )
     }
 
     /** Records the first event of [exchange]; later calls have no effect. */
@@ -73,8 +95,10 @@
         val now = steadyMs()
         exchange.firstEventAtMs = now
         table.onFirstEvent(exchange.endpoint, exchange.reservation)
-        if (exchange.showsPrefillRate) {
-            exchange.endpoint.loadEstimate.onPrefilled(exchange.tokensToRead, now - exchange.startedAtMs, now)
+        prefixCaches.onFirstEvent(exchange, now)
+        if (exchange.expectation.showsPrefillRate) {
+            val tokens = exchange.expectation.tokensToRead
+            exchange.endpoint.loadEstimate.onPrefilled(tokens, now - exchange.startedAtMs, now)
         }
     }
 
@@ -128,6 +152,9 @@
         /** A first event shows the rate of reading if less than one in this many of its tokens was in question. */
         const val MAX_OTHER_SHARE = 10
 
+        /** Waiting requests from which on an endpoint is not free. */
+        const val MIN_WAITING = 0.5
+
         /** Assumed time to the first event of a request, in milliseconds: a typical prompt. */
         const val TYPICAL_FIRST_EVENT_MS = 250L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -9,6 +9,10 @@
 import io.daisybend.serving.endpoint.EngineHoldings
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
+import io.daisybend.serving.endpoint.PrefixPart
+import io.daisybend.serving.endpoint.PrefixSend
+import io.daisybend.serving.endpoint.PrefixSends
+import io.daisybend.serving.endpoint.PromptPrefix
 import io.daisybend.serving.quarantine.AnswerSpan
 import io.daisybend.serving.quarantine.CrashEvidence
 import io.daisybend.serving.quarantine.EngineEnd
@@ -114,6 +118,26 @@
 @Serializable
 internal data class StreamOriginReport(val service: String, val version: String?, val streams: List<Long>)
 
+/**
+ * Prompt parts that the sender sent to an engine, by hash and tokens, and the tokens that no other prompt has. The names
+ * are short because each report may have several.
+ */
+@Serializable
+internal data class PromptPartsReport(
+    @SerialName("e")
+    val engine: String,
+    @SerialName("b")
+    val bornMs: Long,
+    @SerialName("m")
+    val modelHash: Int,
+    @SerialName("h")
+    val hashes: List<Long>,
+    @SerialName("t")
+    val tokens: List<Int>,
+    @SerialName("u")
+    val unsharedTokens: Int = 0,
+)
+
 /** Report of one VM. */
 @Serializable
 internal data class PeerReport(
@@ -148,6 +172,7 @@
     /** The sender's version of the configuration, while the store has only an older one. */
     val versionAheadOfStore: Long? = null,
     val leaving: List<LeavingReport> = emptyList(),
+    val promptParts: List<PromptPartsReport> = emptyList(),
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -193,6 +218,35 @@
 /** Returns the reports of these leaving endpoints. */
 internal fun List<Incarnation>.toLeavingReports(): List<LeavingReport> = map { LeavingReport(it.id, it.bornMs) }
 
+/** Returns the reports of these sends. */
+internal fun List<PrefixSend>.toPromptPartsReports(): List<PromptPartsReport> = map { send ->
+    val parts = send.prefix.shared
+    PromptPartsReport(
+        send.engine.id,
+        send.engine.bornMs,
+        send.prefix.modelHash,
+        parts.map { it.hash },
+        parts.map { it.tokens },
+        send.prefix.unsharedTokens,
+    )
+}
+
+/** Returns the reported sends without those that no VM would report. */
+internal fun List<PromptPartsReport>.toPrefixSends(): List<PrefixSend> = take(PrefixSends.MAX_PER_REPORT)
+    .filter { report ->
+        report.hashes.size == report.tokens.size &&
+            report.hashes.size <= PrefixSends.MAX_PARTS_PER_ENGINE &&
+            report.tokens.all { it in PrefixSends.REPORTED_TOKENS } &&
+            report.unsharedTokens in 0..PrefixSends.MAX_UNSHARED_TOKENS
+    }
+    .map { report ->
+        val parts = report.hashes.zip(report.tokens) { hash, tokens -> PrefixPart(hash, tokens) }
+        PrefixSend(
+            Incarnation(report.engine, report.bornMs),
+            PromptPrefix(report.modelHash, parts, report.unsharedTokens),
+        )
+    }
+
 /** Returns the report of this evidence. */
 internal fun CrashEvidence.toReport() = CrashEvidenceReport(
     ends.map { it.toReport() },
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
@@ -126,52 +126,57 @@
     /**
      * Chooses the engine among [endpoints] with the least predicted delay until the first event for [demand]; a full
      * engine only if all holders are full. With [random], which many VMs that know the loads late should pass, the best
-     * one of a few engines is chosen: random ones, random ones with cached parts and the one that the hash selects.
+     * one of a few engines is chosen: two random ones, and one with cached parts or else the one that the hash selects.
      */
     public fun chooseEngine(
         endpoints: List<Endpoint>,
         engine: EngineSpec,
         demand: ModelDemand,
         load: (Endpoint) -> EndpointLoad,
-        match: (Endpoint) -> PrefixMatch,
+        cachedTokens: (Endpoint) -> Int,
         nowMs: Long,
         random: Random? = null,
+        evictedTokens: (Endpoint) -> Long = { 0 },
     ): EndpointChoice {
         val usable = endpoints.filter { it.isUsable(nowMs) }
         if (usable.isEmpty()) return EndpointChoice.NoEndpoint
         val holders = usable.filter { it.holds(demand) }
         if (holders.isEmpty()) return EndpointChoice.NotHeld
-        val costs = holders.map { prediction.costOf(it, engine, demand, load(it), match(it)) }
+        val costs = holders.map { prediction.costOf(it, engine, demand, load(it), cachedTokens(it)) }
         val free = costs.filter { !it.isFull }.ifEmpty { costs }
-        val preferred = demand.session?.let { session ->
-            firstByRendezvous("${demand.model}/${demand.adapter.orEmpty()}/${session.id}", holders) {
-                it.incarnation.id
-            }
+        val candidates = if (random == null) free else sampleOf(free, random)
+        // Where engines have the parts already, the saved time speaks for them.
+        val isCached = random != null && costs.any { it.savedMs >= MIN_SAVED_MS }
+        val preferred = if (isCached) null else preferredOf(costs, demand)
+        val bonusMs = if (random == null) delayModel.affinityBonusMs else sharingBonusMs(demand)
+        val best = (candidates + listOfNotNull(preferred?.takeIf { it in free })).minBy { cost ->
+            val totalMs = cost.delayMs + evictedTokens(cost.endpoint) * cost.evictedTokenMs
+            if (cost === preferred) totalMs - bonusMs else totalMs
         }
-        val candidates = if (random == null) free else sampleOf(free, preferred, random)
-        val bonusMs = if (random == null) delayModel.affinityBonusMs else sharingBonusMs(demand, costs)
-        val best = candidates.minBy { if (it.endpoint === preferred) it.totalMs - bonusMs else it.totalMs }
         return EndpointChoice.Send(
             best.endpoint,
             best.delayMs,
-            cachedTokens = best.match.cachedTokens,
-            mostCachedTokens = costs.maxOf { it.match.cachedTokens },
+            cachedTokens = best.cachedTokens,
+            mostCachedTokens = costs.maxOf { it.cachedTokens },
         )
     }
 
-    private fun sampleOf(free: List<EngineCost>, preferred: Endpoint?, random: Random): List<EngineCost> {
-        val withPrefix = free.filter { it.savedMs >= MIN_SAVED_MS }
-        return free.sample(SAMPLE_SIZE, random) +
-            withPrefix.sample(SAMPLE_SIZE, random) +
-            listOfNotNull(free.find { it.endpoint === preferred })
+    /** Returns the engine that the hash selects for the session of [demand], so that all VMs prefer the same one. */
+    private fun preferredOf(costs: List<EngineCost>, demand: ModelDemand): EngineCost? {
+        val session = demand.session ?: return null
+        val key = "${demand.model}/${demand.adapter.orEmpty()}/${session.id}"
+        return firstByRendezvous(key, costs) { it.endpoint.incarnation.id }
     }
 
+    private fun sampleOf(free: List<EngineCost>, random: Random): List<EngineCost> =
+        free.sample(SAMPLE_SIZE, random) +
+            free.filter { it.savedMs >= MIN_SAVED_MS }.sample(PREFIX_SAMPLE_SIZE, random)
+
     /**
      * Returns the delay that is accepted to bring requests with the same parts together on one engine: part of what the
-     * next one saves there, and nothing where engines have the parts already and the saved time speaks for them.
+     * next one saves there.
      */
-    private fun sharingBonusMs(demand: ModelDemand, costs: List<EngineCost>): Double {
-        if (costs.any { it.savedMs >= MIN_SAVED_MS }) return 0.0
+    private fun sharingBonusMs(demand: ModelDemand): Double {
         val sharedMs = demand.sharedParts.sumOf { it.tokens } / delayModel.prefillTokensPerMs
         return minOf(delayModel.affinityBonusMs, sharedMs * SHARING_SHARE)
     }
@@ -186,6 +191,9 @@
         /** Endpoints that are compared at random: two avoid most of the queues that one random choice meets. */
         const val SAMPLE_SIZE = 2
 
+        /** Engines with cached parts that are compared: with two, their queues grow by requests of other VMs. */
+        const val PREFIX_SAMPLE_SIZE = 1
+
         /** Saved reading time from which on an engine is compared for it, in milliseconds: about the noise of a delay. */
         const val MIN_SAVED_MS = 10.0
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
@@ -39,6 +39,9 @@
     /** What this incarnation is doing now. */
     public val loadEstimate: EngineLoadEstimate = EngineLoadEstimate(EngineRates(parent = serviceRates))
 
+    /** What this incarnation probably has in its prefix cache. */
+    public val prefixCache: PrefixCacheEstimate = PrefixCacheEstimate()
+
     internal var consecutiveFailures = 0
     internal var ejectedUntilMs = 0L
     internal var announcedUntilMs = Long.MIN_VALUE
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EngineDelay.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EngineDelay.kt
@@ -6,29 +6,19 @@
 
 import io.daisybend.serving.site.EngineSpec
 
-/** What a request would find and displace in the prefix cache of an engine, in tokens. */
-public data class PrefixMatch(val cachedTokens: Int, val evictedTokens: Long = 0) {
-    public companion object {
-        /** Nothing of the prompt is cached. */
-        public val NONE: PrefixMatch = PrefixMatch(0)
-    }
-}
-
 /** The predicted cost of sending a request to [endpoint]. */
 internal class EngineCost(
     val endpoint: Endpoint,
     /** Delay until the first event, in milliseconds. */
     val delayMs: Double,
-    /** Cost of what the request displaces from the prefix cache, in milliseconds. */
-    val evictionMs: Double,
     /** Reading time saved by the prefix cache, in milliseconds. */
     val savedMs: Double,
     /** Whether the engine has no free slot, or no memory for the request, or requests wait there. */
     val isFull: Boolean,
-    val match: PrefixMatch,
-) {
-    val totalMs: Double get() = delayMs + evictionMs
-}
+    val cachedTokens: Int,
+    /** Cost of displacing a token that other requests share from the prefix cache, in milliseconds. */
+    val evictedTokenMs: Double,
+)
 
 /** Predicts costs with [model] for a VM in [failureDomain]. */
 internal class EngineDelayPrediction(private val model: EngineDelayModel, private val failureDomain: String) {
@@ -37,20 +27,20 @@
         engine: EngineSpec,
         demand: ModelDemand,
         load: EndpointLoad,
-        match: PrefixMatch,
+        cachedTokens: Int,
     ): EngineCost {
         val tokensPerMs = load.prefillTokensPerMs ?: model.prefillTokensPerMs
-        val unreadTokens = (demand.promptTokens - match.cachedTokens).coerceAtLeast(0)
+        val unreadTokens = (demand.promptTokens - cachedTokens).coerceAtLeast(0)
         val isFull = isFull(endpoint, engine, demand, load)
         val workMs = (load.pendingPromptTokens + unreadTokens) / tokensPerMs + load.inFlight * model.slowdownPerRunMs
         val overloadMs = if (isFull) overloadMs(engine, load) else 0.0
         return EngineCost(
             endpoint,
             delayMs = workMs * load.pace + overloadMs + domainPenaltyMs(endpoint),
-            evictionMs = match.evictedTokens / tokensPerMs * load.pace * REUSE_SHARE,
-            savedMs = minOf(match.cachedTokens, demand.promptTokens) / tokensPerMs * load.pace,
+            savedMs = minOf(cachedTokens, demand.promptTokens) / tokensPerMs * load.pace,
             isFull,
-            match,
+            cachedTokens,
+            evictedTokenMs = load.pace / tokensPerMs * REUSE_SHARE,
         )
     }
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/LearnedRate.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/LearnedRate.kt
@@ -14,6 +14,13 @@
  */
 public class LearnedRate(private val prior: Double, private val parent: LearnedRate? = null) {
     private var logRatio = 0.0
+
+    /** The value without the parent, and its weight against the parent's; choices read them without a lock. */
+    @Volatile
+    private var ownValue = prior
+
+    @Volatile
+    private var ownWeight = 0.0
     private var count = 0
 
     /** Records an observed [value]; ignores one that is not finite and positive. */
@@ -25,14 +32,15 @@
         count = (count + 1).coerceAtMost(MAX_COUNT)
         val step = maxOf(MIN_STEP, FIRST_STEP / count)
         logRatio += (observed - logRatio).coerceIn(-step, step)
+        ownValue = prior * exp(logRatio)
+        ownWeight = count / (count + PARENT_WEIGHT)
     }
 
     /** The learned value, in the unit of the observations. */
     public val value: Double
-        @Synchronized get() {
-            val own = prior * exp(logRatio)
-            val inherited = parent?.value ?: return own
-            return inherited + (own - inherited) * count / (count + PARENT_WEIGHT)
+        get() {
+            val inherited = parent?.value ?: return ownValue
+            return inherited + (ownValue - inherited) * ownWeight
         }
 
     private companion object {
--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/EndpointChoiceTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/EndpointChoiceTest.kt
@@ -41,7 +41,7 @@
         },
         cached: (Endpoint) -> Int = { 0 },
     ) =
-        chooser.chooseEngine(table.ofService("s"), engineSpec, demand, load, { PrefixMatch(cached(it)) }, nowMs = 0)
+        chooser.chooseEngine(table.ofService("s"), engineSpec, demand, load, cached, nowMs = 0)
 
     test("only an engine that holds the model and the adapter is chosen") {
         val table = table(entry("a", mapOf("m2" to emptySet())), entry("b", mapOf("m1" to setOf("a1"))))
