--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -9,9 +9,9 @@
 import io.daisybend.entry.exchange.EndpointDepartures
 import io.daisybend.entry.exchange.EndpointLoads
 import io.daisybend.entry.exchange.EndpointPool
-import io.daisybend.entry.exchange.PrefixCaches
 import io.daisybend.entry.exchange.EngineEndDetector
 import io.daisybend.entry.exchange.EngineRuns
+import io.daisybend.entry.exchange.PrefixCaches
 import io.daisybend.entry.exchange.RequestFingerprinter
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
@@ -127,7 +127,7 @@
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val stopState = StopState()
-    private val endpointLoads = EndpointLoads(table, peers::vmCount, ::steadyMs)
+    private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
     private val prefixCaches = PrefixCaches(table, ::kvCapacityOf, log, ::steadyMs)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointLoads.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointLoads.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.daisybend.entry.peers.PeerReport
+import io.daisybend.entry.peers.ReportSchedule
 import io.daisybend.kernel.Failure
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.StatedLoad
@@ -21,10 +22,11 @@
 import java.util.concurrent.atomic.LongAdder
 import kotlin.random.Random
 
-/** Estimates the load of the endpoints of [table] in a fleet of [vmCount] VMs. */
+/** Estimates the load of the endpoints of [table] in a fleet of [vmCount] VMs that report at [schedule]. */
 internal class EndpointLoads(
     private val table: EndpointTable,
     private val vmCount: () -> Int,
+    private val schedule: ReportSchedule,
     private val steadyMs: () -> Long,
     private val random: Random = Random.Default,
 ) {
@@ -61,7 +63,8 @@
         val counted = countedAt(endpoint)
         val estimate = endpoint.loadEstimate
         if (!isLargeFleet && !estimate.hasSample) return counted
-        return estimate.loadAt(counted, withRates = isLargeFleet || estimate.hasPace, nowMs)
+        val withRates = isLargeFleet || estimate.hasPace
+        return estimate.loadAt(counted, withRates, nowMs, schedule.intervalMs(vmCount()))
     }
 
     /** Replaces the uses of the sender of [report]. */
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/PrefixCaches.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/PrefixCaches.kt
@@ -17,7 +17,7 @@
 import io.daisybend.serving.endpoint.promptPrefix
 import java.util.concurrent.atomic.LongAdder
 
-/** The expected prefix caches of the engines of [table]; [kvCapacityOf] returns the tokens that those of a service hold. */
+/** The expected prefix caches of the engines of [table]; [kvCapacityOf] returns the tokens in those of a service. */
 internal class PrefixCaches(
     private val table: EndpointTable,
     private val kvCapacityOf: (service: String) -> Long,
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -119,8 +119,8 @@
 internal data class StreamOriginReport(val service: String, val version: String?, val streams: List<Long>)
 
 /**
- * Prompt parts that the sender sent to an engine, by hash and tokens, and the tokens that no other prompt has. The names
- * are short because each report may have several.
+ * Prompt parts that the sender sent to an engine, by hash and tokens, and the tokens that no other prompt has. The
+ * names are short because each report may have several.
  */
 @Serializable
 internal data class PromptPartsReport(
--- a/kernel/src/main/kotlin/io/daisybend/kernel/RendezvousHash.kt
+++ b/kernel/src/main/kotlin/io/daisybend/kernel/RendezvousHash.kt
@@ -18,17 +18,8 @@
 
 /** Returns the candidate with the highest rendezvous score of its [name] for [key], or null without candidates. */
 public fun <T : Any> firstByRendezvous(key: String, candidates: Collection<T>, name: (T) -> String): T? {
-    var first: T? = null
-    var firstScore = 0UL
-    candidates.forEach { candidate ->
-        val score = rendezvousScore(key, name(candidate))
-        val known = first
-        if (known == null || score > firstScore || (score == firstScore && name(candidate) < name(known))) {
-            first = candidate
-            firstScore = score
-        }
-    }
-    return first
+    val order = compareBy<Pair<T, ULong>> { it.second }.thenByDescending { name(it.first) }
+    return candidates.map { it to rendezvousScore(key, name(it)) }.maxWithOrNull(order)?.first
 }
 
 private fun rendezvousScore(key: String, candidate: String): ULong =
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointChoice.kt
@@ -140,9 +140,11 @@
     ): EndpointChoice {
         val usable = endpoints.filter { it.isUsable(nowMs) }
         if (usable.isEmpty()) return EndpointChoice.NoEndpoint
-        val holders = usable.filter { it.holds(demand) }
-        if (holders.isEmpty()) return EndpointChoice.NotHeld
-        val costs = holders.map { prediction.costOf(it, engine, demand, load(it), cachedTokens(it)) }
+        val costs = ArrayList<EngineCost>(usable.size)
+        usable.forEach {
+            if (it.holds(demand)) costs.add(prediction.costOf(it, engine, demand, load(it), cachedTokens(it)))
+        }
+        if (costs.isEmpty()) return EndpointChoice.NotHeld
         val free = costs.filter { !it.isFull }.ifEmpty { costs }
         val candidates = if (random == null) free else sampleOf(free, random)
         // Where engines have the parts already, the saved time speaks for them.
@@ -194,7 +196,7 @@
         /** Engines with cached parts that are compared: with two, their queues grow by requests of other VMs. */
         const val PREFIX_SAMPLE_SIZE = 1
 
-        /** Saved reading time from which on an engine is compared for it, in milliseconds: about the noise of a delay. */
+        /** Saved reading time from which on an engine is compared for it, in milliseconds: the noise of a delay. */
         const val MIN_SAVED_MS = 10.0
 
         /** Share of the reading of the shared parts that is accepted as delay: 41 ms at 6,300 tokens. */
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EngineDelay.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EngineDelay.kt
@@ -69,7 +69,7 @@
         /** Waiting requests, faded by the age of the sample, from which on an engine counts as full. */
         const val MIN_WAITING = 0.5
 
-        /** Bounds of the factor by which runs are longer than the prior: a full engine must not look like a free one. */
+        /** Bounds of the factor by which runs are longer than the prior: a full engine must not look free. */
         const val MIN_SLOWNESS = 0.6
         const val MAX_SLOWNESS = 4.0
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EngineLoadEstimate.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EngineLoadEstimate.kt
@@ -118,11 +118,19 @@
         return known.average + (known.recent - known.average) * exp(-ageMs / PACE_MEMORY_MS)
     }
 
-    /** Returns the load at [nowMs], when all VMs together count [counted]; [withRates] adds the learned rates. */
-    public fun loadAt(counted: EndpointLoad, withRates: Boolean, nowMs: Long): EndpointLoad {
+    /**
+     * Returns the load at [nowMs], when all VMs together count [counted] and the peers report each [reportIntervalMs];
+     * [withRates] adds the learned rates.
+     */
+    public fun loadAt(
+        counted: EndpointLoad,
+        withRates: Boolean,
+        nowMs: Long,
+        reportIntervalMs: Long = LONG_REPORT_INTERVAL_MS,
+    ): EndpointLoad {
         val counts = difference
         val kv = kvDifference
-        val fade = counts?.let { fadeOf(nowMs - it.atMs, DIFFERENCE_MEMORY_MS) * it.weight } ?: 0.0
+        val fade = counts?.let { fadeOf(nowMs - it.atMs, reportIntervalMs * DIFFERENCE_INTERVALS) * it.weight } ?: 0.0
         val inFlight = counts?.let { (counted.inFlight + it.inFlight * fade).roundToInt().coerceAtLeast(0) }
         val kvTokens = kv?.let {
             (counted.kvTokens + it.tokens * fadeOf(nowMs - it.atMs, KV_MEMORY_MS)).roundToLong().coerceAtLeast(0)
@@ -149,8 +157,13 @@
         const val DISTRUST = 0.5
         const val REGAINED_TRUST = 0.1
 
-        /** Times after which a third of a sample is left, in milliseconds: the peers' reports are up to 750 ms old. */
-        const val DIFFERENCE_MEMORY_MS = 600.0
+        /** Interval of the peers' reports where none is given: that of 75 VMs, in milliseconds. */
+        const val LONG_REPORT_INTERVAL_MS = 750L
+
+        /** Report intervals after which a third of a difference is left: the peers' reports have caught up by then. */
+        const val DIFFERENCE_INTERVALS = 0.8
+
+        /** Times after which a third of a sample is left, in milliseconds. */
         const val KV_MEMORY_MS = 2_000.0
         const val PACE_MEMORY_MS = 500.0
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/LearnedRate.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/LearnedRate.kt
@@ -39,7 +39,8 @@
     /** The learned value, in the unit of the observations. */
     public val value: Double
         get() {
-            val inherited = parent?.value ?: return ownValue
+            if (parent == null) return ownValue
+            val inherited = parent.value
             return inherited + (ownValue - inherited) * ownWeight
         }
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/PrefixCacheEstimate.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/PrefixCacheEstimate.kt
@@ -69,11 +69,13 @@
         if (overflow <= 0) return 0
         var freed = 0L
         var shared = 0L
-        for ((hash, entry) in entries) {
-            if (freed >= overflow) break
-            if (prefix.shared.any { it.hash == hash }) continue
-            freed += entry.tokens
-            if (entry.isShared) shared += entry.tokens
+        val eldest = entries.iterator()
+        while (freed < overflow && eldest.hasNext()) {
+            val (hash, entry) = eldest.next()
+            if (prefix.shared.none { it.hash == hash }) {
+                freed += entry.tokens
+                if (entry.isShared) shared += entry.tokens
+            }
         }
         return shared
     }
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/PrefixSends.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/PrefixSends.kt
@@ -1,6 +1,7 @@
 /*
- * The prompt parts that this VM sent to engines, for the reports to the peers: only shared parts that are long enough to
- * matter, each once in a few seconds, and a bounded number in each report. A lost report only delays what peers know.
+ * The prompt parts that this VM sent to engines, for the reports to the peers: only shared parts that are long enough
+ * to matter, each once in a few seconds, and a bounded number in each report. A lost report only delays what peers
+ * know.
  */
 package io.daisybend.serving.endpoint
 
