--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -7,9 +7,11 @@
 import io.daisybend.entry.exchange.CallerListener
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.EndpointDepartures
+import io.daisybend.entry.exchange.EndpointLoads
 import io.daisybend.entry.exchange.EndpointPool
 import io.daisybend.entry.exchange.EngineEndDetector
 import io.daisybend.entry.exchange.EngineRuns
+import io.daisybend.entry.exchange.PrefixCaches
 import io.daisybend.entry.exchange.RequestFingerprinter
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
@@ -169,6 +171,8 @@
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val stopState = StopState()
+    private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
+    private val prefixCaches = PrefixCaches(table, ::kvCapacityOf, log, ::steadyMs)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
         EndpointChooser(failureDomain = settings.failureDomain),
@@ -181,12 +185,14 @@
         streamOrigins,
         pauses,
         rules.eligibility,
+        endpointLoads,
+        prefixCaches,
         departures,
         stopState.deadline,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
-    private val engineClient = EngineClient(httpClient, departures::onResponse)
+    private val engineClient = EngineClient(httpClient, departures::onResponse, endpointLoads::onEngineReport)
     private val requestHandler = RequestHandler(
         connectionPool,
         endpointPool,
@@ -277,6 +283,9 @@
 
     private fun steadyMs(): Long = clocks.read().steadyMs
 
+    private fun kvCapacityOf(service: String): Long =
+        configuration.table?.configuration?.services?.get(service)?.engine?.kvCapacityTokens?.toLong() ?: 0L
+
     /** Starts all components in [scope]. */
     suspend fun start(scope: CoroutineScope) {
         this.scope = scope
@@ -366,6 +375,19 @@
         metrics.addCounters("daisybend_list_relays", "Received parts of the endpoint list", label = "use") {
             endpointWatcher.relayCounts()
         }
+        metrics.addCounters(
+            "daisybend_endpoint_load_samples_total",
+            "Loads that endpoints stated, by how they were used",
+            "use",
+        ) { endpointLoads.sampleCounts }
+        metrics.addCounters(
+            "daisybend_prefix_cache_tokens_total",
+            "Prompt tokens that prefix caches were expected to save, that a choice gave up, and that were missed",
+            "result",
+        ) { prefixCaches.tokenCounts }
+        metrics.addGauge("daisybend_prefix_cache_expected_tokens", "Tokens expected in the prefix caches of engines") {
+            prefixCaches.heldTokens().toDouble()
+        }
         metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
             callers.requestsInProgress.toDouble()
         }
@@ -389,6 +411,8 @@
             val now = steadyMs()
             connectionPool.closeExpired()
             peers.removeExpired(now)
+            prefixCaches.removeUnloaded()
+            endpointLoads.retainPeers(peers.aliveReports(now).mapTo(HashSet()) { it.vm })
             loadForecast.removeOverdue(now)
             val contact = peers.contact(now)
             teamRateLimiter.setContact(contact, now)
@@ -515,6 +539,7 @@
                 ReportPurpose.COMPLETE -> departures.reportAll()
                 ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
+            promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
         )
     }
 
@@ -556,6 +581,8 @@
             now,
             report.uptimeMs,
         )
+        endpointLoads.onPeerReport(report)
+        prefixCaches.onPeerReport(report.promptParts)
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
         departures.onPeerReport(report.vm, report.leaving.map { Incarnation(it.endpoint, it.bornMs) })
--- a/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/Fleet.kt
@@ -37,24 +37,11 @@
     private val orderController get() = components().orderController
     private val peerLink get() = components().peerLink
 
-    private class PeerUses(val byEndpoint: Map<String, List<EndpointUse>>, val computedAtMs: Long)
-
-    @Volatile
-    private var peerUses: PeerUses? = null
-
     private class KnownOutlook(val outlook: DutyOutlook, val computedAtMs: Long)
 
     @Volatile
     private var outlook: KnownOutlook? = null
 
-    override fun peerUses(): Map<String, List<EndpointUse>> {
-        val now = steadyMs()
-        val known = peerUses?.takeIf { now - it.computedAtMs < MAX_PEER_STATE_AGE_MS }
-            ?: PeerUses(peers.aliveReports(now).flatMap { it.endpoints }.groupBy { it.endpoint }, now)
-                .also { peerUses = it }
-        return known.byEndpoint
-    }
-
     override fun allUses(): Map<String, List<EndpointUse>> =
         (peers.aliveReports(steadyMs()).flatMap { it.endpoints } + endpointPool.exchanges.endpointUses())
             .groupBy { it.endpoint }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -6,7 +6,6 @@
 
 import io.daisybend.entry.Activity
 import io.daisybend.entry.LoadMonitor
-import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.attempt.RetryBudget
 import io.daisybend.serving.attempt.RetryBudgetSettings
@@ -15,7 +14,6 @@
 import io.daisybend.serving.endpoint.EndpointChoice
 import io.daisybend.serving.endpoint.EndpointChooser
 import io.daisybend.serving.endpoint.EndpointEligibility
-import io.daisybend.serving.endpoint.EndpointLoad
 import io.daisybend.serving.endpoint.EndpointPauses
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.ModelDemand
@@ -51,9 +49,6 @@
 
 /** State of the fleet that endpoint selection depends on. */
 internal interface FleetView {
-    /** Returns the current use of endpoints by the peers, by endpoint id. */
-    fun peerUses(): Map<String, List<EndpointUse>>
-
     /**
      * Returns the number of milliseconds until [model] is expected to be loaded on some engine, or null if no load is
      * known.
@@ -83,6 +78,9 @@
     private val streamOrigins: StreamOrigins,
     private val pauses: EndpointPauses,
     private val eligibility: EndpointEligibility,
+    /** Load of endpoints from all VMs. */
+    val loads: EndpointLoads,
+    private val prefixCaches: PrefixCaches,
     departures: EndpointDepartures,
     shutdown: ShutdownDeadline,
     private val listAgeMs: () -> Long,
@@ -91,11 +89,10 @@
     private val changes = MutableStateFlow(0L)
     private val changeCount = AtomicLong()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
-    private val promptCache = PromptCacheIndex()
     private val modelLoads = ModelLoadForecast(table, fleet)
 
     /** Requests of this VM in progress at endpoints. */
-    val exchanges = ExchangeTracker(table, promptCache, steadyMs)
+    val exchanges = ExchangeTracker(table, prefixCaches, loads, steadyMs)
 
     private val sendDeadlines = SendDeadlines(shutdown, exchanges, steadyMs)
 
@@ -176,6 +173,7 @@
         return when (val choice = choose(admitted, candidates)) {
             is EndpointChoice.Send ->
                 if (reserve(choice.endpoint, admitted)) {
+                    prefixCaches.onChosen(admitted.request.attemptId, choice)
                     Step.Finish(EndpointSelection.Selected(choice.endpoint))
                 } else {
                     Step.Wait(1)
@@ -331,21 +329,22 @@
     }
 
     private fun chooseAmong(endpoints: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
-        val peerUses by lazy(LazyThreadSafetyMode.NONE) { fleet.peerUses() }
-        val load = { endpoint: Endpoint -> loadOf(endpoint, peerUses) }
+        val load = { endpoint: Endpoint -> loads.loadOf(endpoint, now) }
         val demand = admitted.caller.demand
         val engine = admitted.service.engine
         return if (engine == null || demand == null) {
-            chooser.choosePlain(endpoints, load, now)
+            chooser.choosePlain(endpoints, load, now, loads.choiceRandom)
         } else {
+            val prefix = prefixCaches.prefixFor(admitted.service.name, demand)
             chooser.chooseEngine(
                 endpoints,
                 engine,
                 demand,
                 load,
-                { promptCache.cachedTokens(it.incarnation, demand) },
+                { if (prefix == null) 0 else it.prefixCache.cachedTokens(prefix, now) },
                 now,
-            )
+                loads.choiceRandom,
+            ) { if (prefix == null) 0 else prefixCaches.evictedTokens(it, prefix) }
         }
     }
 
@@ -380,13 +379,3 @@
         const val MODEL_NOT_HELD_RETRY_AFTER_MS = 1_000L
     }
 }
-
-/** Returns the load of [endpoint] from all VMs. */
-private fun loadOf(endpoint: Endpoint, peerUses: Map<String, List<EndpointUse>>): EndpointLoad {
-    val others = peerUses[endpoint.incarnation.id].orEmpty()
-    return EndpointLoad(
-        inFlight = endpoint.inFlight + others.sumOf { it.inFlight },
-        pendingPromptTokens = endpoint.pendingPromptTokens + others.sumOf { it.pendingPromptTokens },
-        kvTokens = endpoint.kvTokens + others.sumOf { it.kvTokens },
-    )
-}
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -11,6 +11,10 @@
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.endpoint.ListExcerpt
 import io.daisybend.serving.endpoint.RelayedRecord
+import io.daisybend.serving.endpoint.PrefixPart
+import io.daisybend.serving.endpoint.PrefixSend
+import io.daisybend.serving.endpoint.PrefixSends
+import io.daisybend.serving.endpoint.PromptPrefix
 import io.daisybend.serving.quarantine.AnswerSpan
 import io.daisybend.serving.quarantine.CrashEvidence
 import io.daisybend.serving.quarantine.EngineEnd
@@ -153,6 +157,26 @@
     val regainedAgoMs: Long? = null,
 )
 
+/**
+ * Prompt parts that the sender sent to an engine, by hash and tokens, and the tokens that no other prompt has. The
+ * names are short because each report may have several.
+ */
+@Serializable
+internal data class PromptPartsReport(
+    @SerialName("e")
+    val engine: String,
+    @SerialName("b")
+    val bornMs: Long,
+    @SerialName("m")
+    val modelHash: Int,
+    @SerialName("h")
+    val hashes: List<Long>,
+    @SerialName("t")
+    val tokens: List<Int>,
+    @SerialName("u")
+    val unsharedTokens: Int = 0,
+)
+
 /** Report of one VM. */
 @Serializable
 internal data class PeerReport(
@@ -189,6 +213,7 @@
     val leaving: List<LeavingReport> = emptyList(),
     /** Only to VMs of the sender's failure domain, while the sender reads the list for them. */
     val endpointRecords: EndpointRelayReport? = null,
+    val promptParts: List<PromptPartsReport> = emptyList(),
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -249,6 +274,35 @@
 /** Returns the reports of these leaving endpoints. */
 internal fun List<Incarnation>.toLeavingReports(): List<LeavingReport> = map { LeavingReport(it.id, it.bornMs) }
 
+/** Returns the reports of these sends. */
+internal fun List<PrefixSend>.toPromptPartsReports(): List<PromptPartsReport> = map { send ->
+    val parts = send.prefix.shared
+    PromptPartsReport(
+        send.engine.id,
+        send.engine.bornMs,
+        send.prefix.modelHash,
+        parts.map { it.hash },
+        parts.map { it.tokens },
+        send.prefix.unsharedTokens,
+    )
+}
+
+/** Returns the reported sends without those that no VM would report. */
+internal fun List<PromptPartsReport>.toPrefixSends(): List<PrefixSend> = take(PrefixSends.MAX_PER_REPORT)
+    .filter { report ->
+        report.hashes.size == report.tokens.size &&
+            report.hashes.size <= PrefixSends.MAX_PARTS_PER_ENGINE &&
+            report.tokens.all { it in PrefixSends.REPORTED_TOKENS } &&
+            report.unsharedTokens in 0..PrefixSends.MAX_UNSHARED_TOKENS
+    }
+    .map { report ->
+        val parts = report.hashes.zip(report.tokens) { hash, tokens -> PrefixPart(hash, tokens) }
+        PrefixSend(
+            Incarnation(report.engine, report.bornMs),
+            PromptPrefix(report.modelHash, parts, report.unsharedTokens),
+        )
+    }
+
 /** Returns the report of this evidence. */
 internal fun CrashEvidence.toReport() = CrashEvidenceReport(
     ends.map { it.toReport() },
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/ModelLoadForecastTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/ModelLoadForecastTest.kt
@@ -15,7 +15,6 @@
 
 private class KnownFleet(private val outlook: DutyOutlook, private val loads: Map<String, Long> = emptyMap()) :
     FleetView {
-    override fun peerUses(): Map<String, List<EndpointUse>> = emptyMap()
 
     override fun loadedInMs(model: String): Long? = loads[model]
 
--- a/kernel/src/main/kotlin/io/daisybend/kernel/RendezvousHash.kt
+++ b/kernel/src/main/kotlin/io/daisybend/kernel/RendezvousHash.kt
@@ -14,7 +14,13 @@
 
 /** Returns the candidate with the highest rendezvous score for [key], or null if [candidates] is empty. */
 public fun <T : Any> firstByRendezvous(key: String, candidates: Collection<T>): T? =
-    candidates.maxWithOrNull(compareBy<T> { rendezvousScore(key, it.toString()) }.thenByDescending { it.toString() })
+    firstByRendezvous(key, candidates) { it.toString() }
+
+/** Returns the candidate with the highest rendezvous score of its [name] for [key], or null without candidates. */
+public fun <T : Any> firstByRendezvous(key: String, candidates: Collection<T>, name: (T) -> String): T? {
+    val order = compareBy<Pair<T, ULong>> { it.second }.thenByDescending { name(it.first) }
+    return candidates.map { it to rendezvousScore(key, name(it)) }.maxWithOrNull(order)?.first
+}
 
 private fun rendezvousScore(key: String, candidate: String): ULong =
     hasher.hashStream().putString(key).putString(candidate).asLong.toULong()
