--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -10,11 +10,11 @@
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.endpoint.ListExcerpt
-import io.daisybend.serving.endpoint.RelayedRecord
 import io.daisybend.serving.endpoint.PrefixPart
 import io.daisybend.serving.endpoint.PrefixSend
 import io.daisybend.serving.endpoint.PrefixSends
 import io.daisybend.serving.endpoint.PromptPrefix
+import io.daisybend.serving.endpoint.RelayedRecord
 import io.daisybend.serving.quarantine.AnswerSpan
 import io.daisybend.serving.quarantine.CrashEvidence
 import io.daisybend.serving.quarantine.EngineEnd
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/ModelLoadForecastTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/ModelLoadForecastTest.kt
@@ -1,6 +1,5 @@
 package io.daisybend.entry.exchange
 
-import io.daisybend.entry.peers.EndpointUse
 import io.daisybend.serving.duty.DutyOutlook
 import io.daisybend.serving.endpoint.EndpointEntry
 import io.daisybend.serving.endpoint.EndpointTable
