Count a send to a cold endpoint by the exact time of its reservation

Cause: the share was found again by the start of the exchange, which is some milliseconds after the reservation, more on a busy machine, so another send could be counted for a shorter time. Ruled out: tickets for sends; the time of the reservation identifies it, since sends of one millisecond are interchangeable. Change: EndpointSelection.Selected carries the time of the reservation.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -66,20 +66,20 @@
     /** Returns whether [endpoint] wants no request of this VM now. */
     fun isPaused(endpoint: Endpoint): Boolean = pauses.leftMs(endpoint.incarnation, steadyMs()) > 0
 
-    /** Returns whether a request that was chosen for [endpoint] by [chosenAtMs] may still be sent to it. */
-    fun mayStillSend(endpoint: Endpoint, chosenAtMs: Long): Boolean =
+    /** Returns whether a request that was reserved for [endpoint] at [reservedAtMs] may still be sent to it. */
+    fun mayStillSend(endpoint: Endpoint, reservedAtMs: Long): Boolean =
         !endpoint.entry.isDraining &&
             endpoint.incarnation !in table.leaving &&
             !isPaused(endpoint) &&
-            eligibility.maySend(endpoint, chosenAtMs, steadyMs())
+            eligibility.maySend(endpoint, reservedAtMs, steadyMs())
 
     /** Records that [endpoint] said that it is leaving. */
     fun recordLeaving(endpoint: Endpoint) = departures.onResponse(endpoint.incarnation)
 
-    /** Records that no byte of a request that was chosen for [endpoint] by [chosenAtMs] was written. */
-    fun recordUnsent(endpoint: Endpoint, chosenAtMs: Long) {
+    /** Records that no byte of a request that was reserved for [endpoint] at [reservedAtMs] was written. */
+    fun recordUnsent(endpoint: Endpoint, reservedAtMs: Long) {
         rateLimiter.refund(endpoint.incarnation)
-        eligibility.giveBack(endpoint, chosenAtMs)
+        eligibility.giveBack(endpoint, reservedAtMs)
     }
 
     /** Records that the answer to [admitted] went on past its beginning. */
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -31,8 +31,8 @@
 
 /** Result of selecting an endpoint. */
 internal sealed interface EndpointSelection {
-    /** The request can be sent to [endpoint]. */
-    class Selected(val endpoint: Endpoint) : EndpointSelection
+    /** The request can be sent to [endpoint], which was reserved at [reservedAtMs] of the monotonic clock. */
+    class Selected(val endpoint: Endpoint, val reservedAtMs: Long) : EndpointSelection
 
     /** No endpoint can serve the request in time; the caller may retry after [retryAfterMs]. */
     data class Unavailable(val reason: String, val retryAfterMs: Long) : EndpointSelection
@@ -173,12 +173,7 @@
         outcomes.refusalByQuarantine(admitted)?.let { return Step.Finish(it) }
         if (!candidates.mayHaveRun) sendDeadlines.refusalByShutdown(admitted)?.let { return Step.Finish(it) }
         return when (val choice = choose(admitted, candidates)) {
-            is EndpointChoice.Send ->
-                if (reserve(choice.endpoint, admitted)) {
-                    Step.Finish(EndpointSelection.Selected(choice.endpoint))
-                } else {
-                    Step.Wait(1)
-                }
+            is EndpointChoice.Send -> reserve(choice.endpoint, admitted)?.let(Step::Finish) ?: Step.Wait(1)
             is EndpointChoice.Limited -> awaitTurn(admitted, choice.waitMs * (1 + queue), "are at their limits")
             is EndpointChoice.Paused -> awaitTurn(admitted, choice.leftMs, "take no requests")
             EndpointChoice.NoEndpoint -> Step.Finish(noEndpoint(admitted))
@@ -186,21 +181,21 @@
         }
     }
 
-    /** Takes the rate of [endpoint] and the trial if [admitted] is one; another request may have taken them. */
-    private fun reserve(endpoint: Endpoint, admitted: AdmittedRequest): Boolean {
-        val now = steadyMs()
-        if (!takeTurn(endpoint, now)) return false
-        return quarantine.onSent(outcomes.suspectParts(admitted), now).also { maySend ->
-            if (!maySend) outcomes.recordUnsent(endpoint, now)
-        }
+    /** Takes a turn at [endpoint] and the trial if [admitted] is one; null if another request has taken them. */
+    private fun reserve(endpoint: Endpoint, admitted: AdmittedRequest): EndpointSelection.Selected? {
+        val selected = takeTurn(endpoint) ?: return null
+        if (quarantine.onSent(outcomes.suspectParts(admitted), steadyMs())) return selected
+        outcomes.recordUnsent(endpoint, selected.reservedAtMs)
+        return null
     }
 
     /** Takes one request from the rate that [endpoint] named and, if it is cold, from the share of this VM. */
-    private fun takeTurn(endpoint: Endpoint, now: Long): Boolean {
-        if (!rateLimiter.admit(endpoint.incarnation, now)) return false
-        return eligibility.take(endpoint, now).also { isTaken ->
-            if (!isTaken) rateLimiter.refund(endpoint.incarnation)
-        }
+    private fun takeTurn(endpoint: Endpoint): EndpointSelection.Selected? {
+        val now = steadyMs()
+        if (!rateLimiter.admit(endpoint.incarnation, now)) return null
+        if (eligibility.take(endpoint, now)) return EndpointSelection.Selected(endpoint, now)
+        rateLimiter.refund(endpoint.incarnation)
+        return null
     }
 
     private fun awaitModel(admitted: AdmittedRequest, waitStartedAtMs: Long): Step {
@@ -247,11 +242,10 @@
     fun hasAlternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Boolean =
         choose(admitted, candidates) is EndpointChoice.Send
 
-    /** Returns the endpoint among [candidates] that [admitted] may be sent to without a wait, or null. */
-    fun alternative(admitted: AdmittedRequest, candidates: EndpointCandidates): Endpoint? {
+    /** Reserves an endpoint among [candidates] that [admitted] may be sent to without a wait, or returns null. */
+    fun alternative(admitted: AdmittedRequest, candidates: EndpointCandidates): EndpointSelection.Selected? {
         if (outcomes.refusalByQuarantine(admitted) != null) return null
-        return (choose(admitted, candidates) as? EndpointChoice.Send)?.endpoint
-            ?.takeIf { takeTurn(it, steadyMs()) }
+        return (choose(admitted, candidates) as? EndpointChoice.Send)?.let { takeTurn(it.endpoint) }
     }
 
     /** Returns when [admitted], turned away by an endpoint, could be served if it came again, in milliseconds. */
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -74,8 +74,7 @@
 
     override suspend fun offer(): Boolean {
         val request = offered() ?: return false
-        val endpoint = chooseOther(request) ?: return false
-        val send = sends.begin(endpoint)
+        val send = sends.begin(chooseOther(request) ?: return false)
         logOffer("offered", send, "from" to request.engine.incarnation.id, "lastEvent" to request.lastEventId)
         var isDecided = false
         try {
@@ -96,7 +95,7 @@
         sends.end(send)
     }
 
-    private fun chooseOther(request: OfferedRequest): Endpoint? {
+    private fun chooseOther(request: OfferedRequest): EndpointSelection.Selected? {
         val mayOffer = sends.attempts < admitted.route.maxAttempts &&
             sends.refusedOffers < MAX_REFUSED_OFFERS &&
             admitted.deadlineAtMs - steadyMs() > MIN_OFFER_TIME_MS &&
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -118,7 +118,7 @@
     private suspend fun sendRepeatedly(scope: CoroutineScope): RequestOutcome {
         while (true) {
             val send = offers.takeAccepted() ?: when (val selection = selectAndCount()) {
-                is EndpointSelection.Selected -> sends.begin(selection.endpoint)
+                is EndpointSelection.Selected -> sends.begin(selection)
                 is EndpointSelection.Unavailable -> return onUnavailable(selection)
             }
             val result = complete(scope, send)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -16,8 +16,17 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 
-/** A send to [endpoint]; [isRepeated] if the request was sent there before. */
-internal class Send(val endpoint: Endpoint, val tracked: TrackedExchange, val isRepeated: Boolean) {
+/** A send to the endpoint of [selected]; [isRepeated] if the request was sent there before. */
+internal class Send(
+    private val selected: EndpointSelection.Selected,
+    val tracked: TrackedExchange,
+    val isRepeated: Boolean,
+) {
+    val endpoint: Endpoint get() = selected.endpoint
+
+    /** When the endpoint was reserved, in milliseconds of the monotonic clock. */
+    val reservedAtMs: Long get() = selected.reservedAtMs
+
     /** What the endpoint responded, or null. */
     @Volatile
     var start: SendStart? = null
@@ -45,11 +54,12 @@
 
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
-    /** Begins a send to [endpoint] and reserves its load until [end]. */
-    fun begin(endpoint: Endpoint): Send {
+    /** Begins a send to the endpoint of [selected] and reserves its load until [end]. */
+    fun begin(selected: EndpointSelection.Selected): Send {
+        val endpoint = selected.endpoint
         val isRepeated = endpoint.incarnation.id in endpointsUsed
         endpointsUsed.add(endpoint.incarnation.id)
-        return Send(endpoint, endpointPool.exchanges.begin(endpoint, admitted.caller.demand), isRepeated)
+        return Send(selected, endpointPool.exchanges.begin(endpoint, admitted.caller.demand), isRepeated)
     }
 
     /** Ends [send]; closes its connection unless the exchange is complete. */
@@ -90,7 +100,7 @@
     private fun guardOf(send: Send) = object : SendGuard {
         private val endpoint = send.endpoint
 
-        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint, send.tracked.startedAtMs)
+        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint, send.reservedAtMs)
 
         override fun onHead(headers: EndpointResponseHeaders) {
             if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
@@ -21,7 +21,7 @@
     /** Records that no byte of the request of [send] was written. */
     fun onNotSent(send: Send, start: SendStart.NotSent) {
         if (!start.isWithheld) outcomes.recordUnreachable(send.endpoint)
-        outcomes.recordUnsent(send.endpoint, send.tracked.startedAtMs)
+        outcomes.recordUnsent(send.endpoint, send.reservedAtMs)
     }
 
     /** Records that [endpoint] sent no valid response. */
--- a/entry/src/test/kotlin/io/daisybend/entry/peers/DirectoryPeersTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/peers/DirectoryPeersTest.kt
@@ -68,7 +68,8 @@
             }
         }
 
-        // The reports of the ended VM are in the buffer of the VM that stood still, which reads them as if they were new.
+        // The reports of the ended VM are in the buffer of the VM that stood still, which reads them as if they were
+        // new.
         test("a VM that stood still while another one ended does not name that one later, with $vmCount VMs") {
             val fleet = ReportedFleet(vmCount)
             fleet.send(untilMs = 40_000, endMs = 22_000)
--- a/serving/src/main/kotlin/io/daisybend/serving/directory/RunningVms.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/directory/RunningVms.kt
@@ -1,8 +1,8 @@
 /*
- * Which processes of VMs are running, for the directory. A report shows that its sender ran when it sent the report, not
- * when the report is read: a VM that stood still reads reports late, maybe those of processes that have ended. So the
- * age of a report is estimated from the sender's uptime in it. The offset between the clocks of both VMs is that of the
- * report that arrived fastest.
+ * Which processes of VMs are running, for the directory. A report shows that its sender ran when it sent the report,
+ * not when the report is read: a VM that stood still reads reports late, maybe those of processes that have ended. So
+ * the age of a report is estimated from the sender's uptime in it. The offset between the clocks of both VMs is that of
+ * the report that arrived fastest.
  */
 package io.daisybend.serving.directory
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/ColdEngines.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/ColdEngines.kt
@@ -184,7 +184,7 @@
     }
 
     /**
-     * Returns whether the request that was taken for [endpoint] by [takenAtMs] may be written at [nowMs], and counts it
+     * Returns whether the request that was taken for [endpoint] at [takenAtMs] may be written at [nowMs], and counts it
      * from then on: opening a connection takes time, and the endpoint may have become cold since.
      */
     public fun maySend(endpoint: Endpoint, takenAtMs: Long, nowMs: Long): Boolean {
@@ -199,7 +199,7 @@
         }
     }
 
-    /** Gives the request back that was taken for [endpoint] by [takenAtMs] and of which no byte was written. */
+    /** Gives the request back that was taken for [endpoint] at [takenAtMs] and of which no byte was written. */
     public fun giveBack(endpoint: Endpoint, takenAtMs: Long) {
         if (endpoint.entry.service !in coldStarts) return
         synchronized(lock) {
@@ -209,8 +209,8 @@
         }
     }
 
-    /** Returns the index of the newest send counted by [takenAtMs], just before a request was taken then, or -1. */
-    private fun indexOfTaken(state: State, takenAtMs: Long): Int = state.sentAtMs.indexOfLast { it <= takenAtMs }
+    /** Returns the index of a send that counts from [takenAtMs], or -1 if that is not counted any more. */
+    private fun indexOfTaken(state: State, takenAtMs: Long): Int = state.sentAtMs.indexOf(takenAtMs)
 
     /** Returns how much longer the cold ones of [endpoints] stay cold at [nowMs], in milliseconds. */
     public fun current(endpoints: List<Endpoint>, nowMs: Long): Map<Incarnation, Long> {
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointEligibility.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointEligibility.kt
@@ -38,10 +38,10 @@
     /** Takes one request to [endpoint] at [nowMs]; returns false if the endpoint is cold and may not get one. */
     public fun take(endpoint: Endpoint, nowMs: Long): Boolean = coldEngines.take(endpoint, nowMs)
 
-    /** Gives back a request to [endpoint] that was taken by [takenAtMs] and of which no byte was written. */
+    /** Gives back a request to [endpoint] that was taken at [takenAtMs] and of which no byte was written. */
     public fun giveBack(endpoint: Endpoint, takenAtMs: Long): Unit = coldEngines.giveBack(endpoint, takenAtMs)
 
-    /** Returns whether the request that was taken for [endpoint] by [takenAtMs] may still be written at [nowMs]. */
+    /** Returns whether the request that was taken for [endpoint] at [takenAtMs] may still be written at [nowMs]. */
     public fun maySend(endpoint: Endpoint, takenAtMs: Long, nowMs: Long): Boolean =
         !isEvacuated(endpoint) && coldEngines.maySend(endpoint, takenAtMs, nowMs)
 }
