--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -182,7 +182,8 @@
     private fun takeOver(epoch: Long) {
         val now = steadyMs()
         val predecessor = leaseManager.predecessor()
-        val loads = predecessor?.let { inheritedLoads.predecessorLoads(it.rightEndedAtMs, shortestStoreLoadMs()) }
+        val shortestLoadMs = configuration()?.shortestStoreLoadMs() ?: 0
+        val loads = predecessor?.let { inheritedLoads.predecessorLoads(it.rightEndedAtMs, shortestLoadMs) }
         loads?.let(storeLoads::succeed)
         inheritedCount = inheritedLoads.inProgress(now)
         log.write(
@@ -198,9 +199,6 @@
         )
     }
 
-    private fun shortestStoreLoadMs(): Long = configuration()?.configuration?.services?.values
-        ?.flatMap { it.engine?.models?.values.orEmpty() }?.minOfOrNull { it.coldLoadMs } ?: 0
-
     private fun handle(event: OrderEvent) {
         when (event) {
             is OrderEvent.Answered -> onAnswered(event)
@@ -483,3 +481,7 @@
         const val REPORT_TIMEOUT_MS = 500L
     }
 }
+
+/** Returns the least time that a load from the weight store takes, in milliseconds, or null without models. */
+private fun RouteTable.shortestStoreLoadMs(): Long? =
+    configuration.services.values.flatMap { it.engine?.models?.values.orEmpty() }.minOfOrNull { it.coldLoadMs }
