--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/EndpointChoiceTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/EndpointChoiceTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.random.Random
 
 internal fun entry(
     id: String,
@@ -66,6 +67,30 @@
         (choose(table, demand, busyB, cachedAtB) as EndpointChoice.Send).endpoint.incarnation.id shouldBe "a"
     }
 
+    test("a full engine gets no request while another holder is free, whatever it has cached") {
+        val table = table(entry("a", mapOf("m1" to emptySet())), entry("b", mapOf("m1" to emptySet())))
+        val cachedAtB = { endpoint: Endpoint -> if (endpoint.incarnation.id == "b") 1_000 else 0 }
+        val slow = EndpointLoad(5, 500_000, 9, pace = 5.0)
+        val full = listOf(EndpointLoad(6, 0, 0), EndpointLoad(0, 0, 199_000), EndpointLoad(1, 0, 0, waiting = 1.0))
+        for (fullB in full) {
+            for (random in listOf(null, Random(1))) {
+                repeat(20) {
+                    val load = { endpoint: Endpoint -> if (endpoint.incarnation.id == "b") fullB else slow }
+                    val choice = chooser.chooseEngine(
+                        table.ofService("s"),
+                        engineSpec,
+                        demand,
+                        load,
+                        cachedAtB,
+                        0,
+                        random,
+                    )
+                    (choice as EndpointChoice.Send).endpoint.incarnation.id shouldBe "a"
+                }
+            }
+        }
+    }
+
     test("a plain request prefers its own failure domain until the endpoint there has fewer free slots") {
         val table = table(entry("far", domain = "south"), entry("near"))
         val choice = chooser.choosePlain(table.ofService("s"), { idle }, 0).shouldBeInstanceOf<EndpointChoice.Send>()
