Repeat fewer older records in relays of the endpoint list

Cause: each relay was filled up with older records to 6,000 bytes, by arithmetic 219 ms of a 7 Mbit/s link for 24 recipients, above the limit of 210 ms: such readers would never have passed anything on. Found by reading.

Change: only relays below 1,000 bytes repeat older records, up to that size.

--- a/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/store/EndpointWatcher.kt
@@ -132,7 +132,7 @@
     /** Passes on what was read by a call sent at [sentAt] if this VM reads for others. */
     private suspend fun passOn(sentAt: ClockReading) {
         if (!sharing.isShared || sharing.readerRank() == null) return
-        val (pieces, position) = synchronized(lock) { buffer.take(MAX_RELAY_BYTES) to relay.position }
+        val (pieces, position) = synchronized(lock) { buffer.take(MAX_RELAY_BYTES, MIN_RELAY_BYTES) to relay.position }
         val end = position?.nextOffset ?: return
         val bytes = pieces.sumOf { piece ->
             REPORT_BYTES +
@@ -355,6 +355,9 @@
         /** Bytes of records in one datagram; the rest of a report has some 2 kB, and 8 kB are seldom lost. */
         const val MAX_RELAY_BYTES = 6_000
 
+        /** Bytes up to which older records are repeated: whole datagrams of them would fill the smallest link. */
+        const val MIN_RELAY_BYTES = 1_000
+
         /** Bytes of a report beside the records, for the use of the link. */
         const val REPORT_BYTES = 2_000
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/RelayBuffer.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/RelayBuffer.kt
@@ -36,10 +36,11 @@
     }
 
     /**
-     * Returns all records since the last call, in pieces of at most [maxBytes] unless one record is larger. The first
-     * piece begins with records that were taken before, as far as they fit: others may have missed them.
+     * Returns all records since the last call, in pieces of at most [maxBytes] unless one record is larger. A single
+     * piece that is smaller than [minBytes] begins with records that were taken before, up to that size: others may
+     * have missed them.
      */
-    public fun take(maxBytes: Int): List<Piece> {
+    public fun take(maxBytes: Int, minBytes: Int): List<Piece> {
         val pieces = ArrayList<Piece>()
         var index = (takenTo - from).toInt().coerceAtLeast(0)
         var bytes = 0
@@ -55,7 +56,7 @@
             index++
         }
         if (pieces.isEmpty()) {
-            while (start > 0 && bytes + records[start - 1].size <= maxBytes) bytes += records[--start].size
+            while (start > 0 && bytes + records[start - 1].size <= minBytes) bytes += records[--start].size
         }
         pieces.add(pieceOf(start, index))
         skip()
--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/ListRelayTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/ListRelayTest.kt
@@ -123,16 +123,19 @@
         val buffer = RelayBuffer()
         fun add(count: Int, next: Long) =
             buffer.add(List(count) { RelayedRecord("e", "v".repeat(75)) }, ListPosition(1, next))
+        fun take(minBytes: Int) = buffer.take(maxBytes = 250, minBytes).map { it.from to it.records.size }
         add(5, next = 5)
-        buffer.take(maxBytes = 250).map { it.from to it.records.size } shouldBe listOf(0L to 2, 2L to 2, 4L to 1)
+        take(minBytes = 250) shouldBe listOf(0L to 2, 2L to 2, 4L to 1)
         add(1, next = 6)
-        buffer.take(maxBytes = 250).map { it.from to it.records.size } shouldBe listOf(4L to 2)
+        take(minBytes = 250) shouldBe listOf(4L to 2)
         // Another VM read on: what lies between is not here.
         add(1, next = 20)
-        buffer.take(maxBytes = 250).map { it.from to it.records.size } shouldBe listOf(19L to 1)
-        add(3, next = 23)
+        take(minBytes = 250) shouldBe listOf(19L to 1)
+        add(1, next = 21)
+        take(minBytes = 150) shouldBe listOf(20L to 1)
+        add(2, next = 23)
         buffer.skip()
-        buffer.take(maxBytes = 100).map { it.from to it.records.size } shouldBe listOf(22L to 1)
+        take(minBytes = 100) shouldBe listOf(22L to 1)
     }
 
     test("a report that was sent late or waited in a buffer shows its delay") {
--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/SimulatedDomain.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/SimulatedDomain.kt
@@ -69,7 +69,7 @@
             buffer.add(List((position.nextOffset - from).toInt()) { RelayedRecord("e", "v") }, position)
             relay.onOwnRead(position, ended.sentAt, clock())
             if (rank == null) return
-            buffer.take(maxBytes = 200).forEach { piece ->
+            buffer.take(maxBytes = 200, minBytes = 100).forEach { piece ->
                 val readAgoMs = clock().ageOf(ended.sentAt)
                 send(this, ListExcerpt(piece.era, piece.from, piece.records, position.nextOffset, readAgoMs))
             }
