--- a/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/rates/TeamRateLimiter.kt
@@ -66,7 +66,7 @@
         val neededLevel = neededLevels.getOrDefault(team.name, 0.0) * (1.0 - buckets.contact.unreachableShare)
         if (!bucket.admit(cost, neededLevel)) {
             val waitMs = bucket.retryAfterMs(buckets.contact.unreachableShare, neededLevel)
-            return RateDecision.OverRate(withJitter(waitMs))
+            return RateDecision.OverRate(withJitter(waitMs.coerceAtMost(MAX_RETRY_AFTER_MS)))
         }
         neededLevels[team.name] = drawNeededLevel(team)
         if (mustReportEarly(team, bucket)) requestEarlyReport()
@@ -135,5 +135,11 @@
         /** Range of the levels that requests need, as a share of the burst. */
         const val SPREAD_BURST_SHARE = 0.5
         const val MAX_JITTER_SHARE = 0.5
+
+        /**
+         * Longest Retry-After before jitter, in milliseconds. A VM that hears nobody for a moment would name over a
+         * minute, and has its peers' shares back long before.
+         */
+        const val MAX_RETRY_AFTER_MS = 8_000L
     }
 }
