Move a conversion out of the order controller

Cause: detekt flags a class from 25 functions on; OrderController had 25.

Change: a function of the file.

Measured: verify with DutyFailoverTest, ResidencyMonitorTest, ColdModelTest, ModelLoadForecastTest and WireNameTest passes, ktlint and detekt are clean.

--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -296,7 +296,7 @@
             engines.forEach { requestReportIfNeeded(scope, it.tracker, now) }
             val others = trackers.values - engines.mapTo(HashSet()) { it.tracker }
             val allowance = storeLoads.allowance(others, engineSpec.loadsPerSecond, now)
-            val serviceDemand = queuedDemand.filter { it.service == service.name }.map(::toQueuedDemand) +
+            val serviceDemand = queuedDemand.filter { it.service == service.name }.map { it.toQueuedDemand() } +
                 coldDemand.queuedDemand(now).filter { it.model in engineSpec.models }
             val planner = ResidencyPlanner(engineSpec)
             val prefetch = now - endpointsChangedAtMs >= PREFETCH_DELAY_MS
@@ -444,11 +444,6 @@
         }
     }
 
-    private fun toQueuedDemand(report: QueuedDemandReport): QueuedDemand {
-        val adapter = report.model.substringAfter('/', "").ifEmpty { null }
-        return QueuedDemand(report.model.substringBefore('/'), adapter, report.count, report.urgency, report.waitedMs)
-    }
-
     private companion object {
         /** Interval between checks without the lease, in milliseconds: an event tells when it is taken. */
         const val IDLE_INTERVAL_MS = 1_000L
@@ -485,3 +480,8 @@
 /** Returns the least time that a load from the weight store takes, in milliseconds, or null without models. */
 private fun RouteTable.shortestStoreLoadMs(): Long? =
     configuration.services.values.flatMap { it.engine?.models?.values.orEmpty() }.minOfOrNull { it.coldLoadMs }
+
+private fun QueuedDemandReport.toQueuedDemand(): QueuedDemand {
+    val adapter = model.substringAfter('/', "").ifEmpty { null }
+    return QueuedDemand(model.substringBefore('/'), adapter, count, urgency, waitedMs)
+}
