--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -80,7 +80,7 @@
     fingerprinter: RequestFingerprinter,
     private val rateLimiter: EndpointRateLimiter,
     private val streamOrigins: StreamOrigins,
-    private val pauses: EndpointPauses,
+    pauses: EndpointPauses,
     private val eligibility: EndpointEligibility,
     departures: EndpointDepartures,
     shutdown: ShutdownDeadline,
@@ -91,6 +91,7 @@
     private val changeCount = AtomicLong()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val promptCache = PromptCacheIndex()
+    private val turns = EndpointTurns(rateLimiter, pauses, eligibility, steadyMs)
     private val modelLoads = ModelLoadForecast(table, fleet)
 
     /** Requests of this VM in progress at endpoints. */
@@ -183,21 +184,12 @@
 
     /** Takes a turn at [endpoint] and the trial if [admitted] is one; null if another request has taken them. */
     private fun reserve(endpoint: Endpoint, admitted: AdmittedRequest): EndpointSelection.Selected? {
-        val selected = takeTurn(endpoint) ?: return null
+        val selected = turns.take(endpoint) ?: return null
         if (quarantine.onSent(outcomes.suspectParts(admitted), steadyMs())) return selected
         outcomes.recordUnsent(endpoint, selected.reservedAtMs)
         return null
     }
 
-    /** Takes one request from the rate that [endpoint] named and, if it is cold, from the share of this VM. */
-    private fun takeTurn(endpoint: Endpoint): EndpointSelection.Selected? {
-        val now = steadyMs()
-        if (!rateLimiter.admit(endpoint.incarnation, now)) return null
-        if (eligibility.take(endpoint, now)) return EndpointSelection.Selected(endpoint, now)
-        rateLimiter.refund(endpoint.incarnation)
-        return null
-    }
-
     private fun awaitModel(admitted: AdmittedRequest, waitStartedAtMs: Long): Step {
         val model = admitted.caller.demand?.model ?: return Step.Finish(noEndpoint(admitted))
         val waitMs = remainingWaitMs(admitted, model, waitStartedAtMs)
@@ -245,7 +237,7 @@
     /** Reserves an endpoint among [candidates] that [admitted] may be sent to without a wait, or returns null. */
     fun alternative(admitted: AdmittedRequest, candidates: EndpointCandidates): EndpointSelection.Selected? {
         if (outcomes.refusalByQuarantine(admitted) != null) return null
-        return (choose(admitted, candidates) as? EndpointChoice.Send)?.let { takeTurn(it.endpoint) }
+        return (choose(admitted, candidates) as? EndpointChoice.Send)?.let { turns.take(it.endpoint) }
     }
 
     /** Returns when [admitted], turned away by an endpoint, could be served if it came again, in milliseconds. */
@@ -273,26 +265,14 @@
                 (model == null || !table.hasRefusedModel(it, model, now))
         }
         if (endpoints.isEmpty() && all.isNotEmpty() && model != null) return EndpointChoice.NotHeld
-        val (paused, open) = endpoints.partition { waitMs(it, now) > 0 }
-        val choice = choosePreferringWarm(open, admitted, now)
+        val (paused, open) = endpoints.partition { turns.waitMs(it, now) > 0 }
+        val choice = turns.chooseWarmFirst(open, now) { chooseWithinLimits(it, admitted, now) }
         if (choice is EndpointChoice.Send || choice is EndpointChoice.Limited) return choice
         val needed = admitted.caller.demand.takeIf { admitted.service.engine != null }
-        val leftMs = paused.filter { it.canServe(needed, now) }.minOfOrNull { waitMs(it, now) }
+        val leftMs = paused.filter { it.canServe(needed, now) }.minOfOrNull { turns.waitMs(it, now) }
         return leftMs?.let { EndpointChoice.Paused(it) } ?: choice
     }
 
-    /** Returns the time until [endpoint] takes a request of this VM, in milliseconds. */
-    private fun waitMs(endpoint: Endpoint, now: Long) =
-        maxOf(pauses.leftMs(endpoint.incarnation, now), eligibility.waitMs(endpoint, now))
-
-    /** Chooses a cold endpoint only if no warm one can take the request now. */
-    private fun choosePreferringWarm(open: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
-        val warm = eligibility.withoutCold(open, now)
-        if (warm.size == open.size) return chooseWithinLimits(open, admitted, now)
-        val choice = chooseWithinLimits(warm.filterNot { it.isEjected(now) }, admitted, now)
-        return choice as? EndpointChoice.Send ?: chooseWithinLimits(open, admitted, now)
-    }
-
     private fun chooseWithinLimits(endpoints: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
         val (limited, free) = endpoints.partition { rateLimiter.waitMs(it.incarnation, now) > 0 }
         val choice = chooseWithoutLimit(free, admitted, now) ?: chooseAmong(free, admitted, now)
