Name unreachable VMs in the simulated fleet of the team limiter's test

PeerTable always names them. The requested levels were random without a seed. Ruled out: a wider bound; it is unchanged, as are the schedules. Change: the fleet passes names as PeerTable does, and seeds its limiters.

--- a/serving/src/test/kotlin/io/daisybend/serving/rates/TeamRateLimiterTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/rates/TeamRateLimiterTest.kt
@@ -38,7 +38,9 @@
     private val earlyReports = HashSet<Int>()
     private val lastReportsMs = LongArray(vmCount)
     private val limits =
-        List(vmCount) { vm -> TeamRateLimiter { earlyReports.add(vm) }.also { it.configure(listOf(team), 0) } }
+        List(vmCount) { vm ->
+            TeamRateLimiter(Random(vm)) { earlyReports.add(vm) }.also { it.configure(listOf(team), 0) }
+        }
     private val reportedAtMs = List(vmCount) { LongArray(vmCount) { 0L } }
     private val cutUntilMs = List(vmCount) { LongArray(vmCount) }
     private val admitted = ArrayList<Pair<Long, Double>>()
@@ -98,11 +100,12 @@
 
     private fun updateReachability(nowMs: Long) {
         for (vm in 0 until vmCount) {
-            val unreachable = (0 until vmCount).count {
-                it != vm && nowMs - reportedAtMs[vm][it] > times.mutualTimeoutMs
-            }
-            val share = unreachable / vmCount.toDouble()
-            limits[vm].setContact(FleetContact(vmCount, share, lostShare = share, times.mutualTimeoutMs), nowMs)
+            val unreachable = (0 until vmCount)
+                .filter { it != vm && nowMs - reportedAtMs[vm][it] > times.mutualTimeoutMs }
+                .mapTo(HashSet()) { "vm-$it" }
+            val share = unreachable.size / vmCount.toDouble()
+            val contact = FleetContact(vmCount, share, share, times.mutualTimeoutMs, unreachable, lostVms = unreachable)
+            limits[vm].setContact(contact, nowMs)
         }
     }
 
