Leave the use of teams out of relays of the endpoint list

A relay carried the use of all teams (some 600 bytes in each datagram): an earlier branch of the same when took it. Receivers apply that use from regular reports. Measured: compiles; the effect on relays was not played.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -509,7 +509,7 @@
             alivePeers = emptyList(),
             teams = when (purpose) {
                 ReportPurpose.BROADCAST -> teamRateLimiter.reportChanges()
-                ReportPurpose.COMPLETE, ReportPurpose.DEMAND, ReportPurpose.RELAY -> teamRateLimiter.usage()
+                ReportPurpose.COMPLETE, ReportPurpose.DEMAND -> teamRateLimiter.usage()
                 ReportPurpose.RELAY -> emptyMap()
             }.map { (team, use) -> TeamUseReport(team, use.admitted, use.level) },
             duty = leaseManager.newestRecord(),
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/ListRelay.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/ListRelay.kt
@@ -159,7 +159,7 @@
         position = applied.copy(nextOffset = nextOffset)
         val isConfirmed = nextOffset >= excerpt.end && !isReadRequired(now) && readAt != null
         if (isConfirmed) {
-            readAt?.let { confirm(it, now) }
+            confirm(readAt, now)
             excerptAt = now
         }
         return ExcerptUse.Apply(newRecords, isConfirmed)
