Write requests in slices of 32 KiB

Likely cause, not shown: SocketOutput passed a body as one heap buffer, and the JDK copies such a buffer whole into direct memory, which each writing thread keeps (32 MB each in the test, up to the limit of a body on a VM). Ruled out: a fault of the test's server or a lost wake-up; 1,500 sends alone in the JVM passed on the same code. Change: at most two slices of 32 KiB a write.

--- a/entry/src/main/kotlin/io/daisybend/entry/http/SocketOutput.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/SocketOutput.kt
@@ -19,15 +19,31 @@
 
     /** Sends all [pieces] in order; throws [java.io.IOException] if the connection ends before. */
     suspend fun writeAll(vararg pieces: ByteArray) = writing.withLock {
-        val buffers = pieces.map(ByteBuffer::wrap).toTypedArray()
-        while (buffers.any { it.hasRemaining() }) {
-            if (channel.write(buffers) == 0L) awaitWritable()
+        val slices = pieces.flatMap(::slicesOf).toTypedArray()
+        var first = 0
+        while (first < slices.size) {
+            if (channel.write(slices, first, minOf(SLICES_A_WRITE, slices.size - first)) == 0L) awaitWritable()
+            while (first < slices.size && !slices[first].hasRemaining()) first++
         }
     }
 
+    private fun slicesOf(bytes: ByteArray): List<ByteBuffer> =
+        (bytes.indices step SLICE_BYTES).map { ByteBuffer.wrap(bytes, it, minOf(SLICE_BYTES, bytes.size - it)) }
+
     private suspend fun awaitWritable() {
         socket.interestOp(SelectInterest.WRITE, true)
         selector.select(socket, SelectInterest.WRITE)
         socket.interestOp(SelectInterest.WRITE, false)
     }
+
+    private companion object {
+        /**
+         * Bytes of one buffer. The JDK copies the buffers of a write into direct memory that each thread keeps, so a
+         * body must not be one buffer.
+         */
+        const val SLICE_BYTES = 32_768
+
+        /** Buffers of one write: a head and the beginning of its body. */
+        const val SLICES_A_WRITE = 2
+    }
 }
