Log the connection and the state of each send of a refused request

What callers saw: a promise "not run" for a request that an engine had run. The record of it could not tell a refusal from its copy, nor name the sends that were still under way. send-failed now has the state of all sends of the request with the uses of their connections, a refused request repeats them in its request line, and a response to another request leaves response-discarded.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -101,8 +101,14 @@
     /** Returns whether the request may still be sent, once there is a connection. */
     fun maySend(): Boolean
 
+    /** Called before the request is written on a connection that has completed [connectionUses] exchanges. */
+    fun onWriting(connectionUses: Int)
+
     /** Called for each head that the endpoint sends, also for interim ones and those of other requests. */
     fun onHead(headers: EndpointResponseHeaders)
+
+    /** Called for a response with [status] and [headers] that does not belong to the request. */
+    fun onUnrelated(status: Int, headers: EndpointResponseHeaders)
 }
 
 /**
@@ -128,6 +134,7 @@
         connection.close()
         return SendStart.NotSent("the endpoint wants no requests", isWithheld = true)
     }
+    guard.onWriting(connection.completedExchanges)
     val writeJob = scope.async { writeRequest(connection, request, headers) }
     return try {
         readResponseHead(connectionPool, connection, request, writeJob, guard)
@@ -178,7 +185,7 @@
     guard: SendGuard,
 ): SendStart {
     // A refusal without an id may answer an earlier request of a kept connection.
-    val wasKept = connection.wasUsed
+    val wasKept = connection.completedExchanges > 0
     repeat(MAX_UNRELATED_RESPONSES + 1) {
         val headLines = connection.source.readHeadLines(MAX_RESPONSE_HEAD_BYTES)
             ?: throw ConnectionBrokenException(null)
@@ -189,6 +196,7 @@
         val isUnnamedRefusal = headers.attemptId == null && headers.didNotRun
         val isOwn = headers.attemptId == request.attemptId || (isUnnamedRefusal && !wasKept)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
+        guard.onUnrelated(head.status, headers)
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
         BodyReader(connection.source, head.framing).discardAll(MAX_UNRELATED_BODY_BYTES)
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
@@ -90,6 +90,7 @@
             "model" to admitted.caller.demand?.let { modelKey(it.model, it.adapter) },
             "version" to admitted.configurationVersion,
             "endpoints" to sender.endpointsUsed,
+            "sends" to sender.sendStates.takeIf { outcome.ran == "not_run" && it.isNotEmpty() },
             "waitedMs" to sender.waitedMs,
             "firstMs" to sender.firstPieceMs,
             "tookMs" to tookMs,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -52,7 +52,7 @@
     private val log: EventLog,
     private val steadyMs: () -> Long,
 ) {
-    private val sends = RequestSends(admitted, connectionPool, endpointPool, steadyMs)
+    private val sends = RequestSends(admitted, connectionPool, endpointPool, log, steadyMs)
     private val recorder = SendRecorder(admitted, endpointPool.outcomes, log, steadyMs)
     private val offers =
         EngineOffers(admitted, endpointPool, endDetector, engineRuns, sends, recorder, log, steadyMs, ::offeredRequest)
@@ -60,6 +60,9 @@
     /** Ids of the endpoints that the request was sent to, in order. */
     val endpointsUsed: List<String> get() = sends.endpointsUsed
 
+    /** What is known of each send, in order, for the log. */
+    val sendStates: List<String> get() = sends.describe()
+
     /** Records that the caller left before the end of its response. */
     fun onCallerLeft() = streamBinding.onInterrupted()
 
@@ -218,6 +221,7 @@
             "endpoint" to endpoint.incarnation.id,
             "outcome" to result.outcome.toString(),
             "reason" to result.reason,
+            "sends" to sends.describe(),
             "events" to lastExchange?.progress?.eventCount,
             "parts" to admitted.sharedPartIds.ifEmpty { null },
             "next" to step.toString(),
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -4,6 +4,7 @@
  */
 package io.daisybend.entry.exchange
 
+import io.daisybend.entry.EventLog
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.SendHeaders
@@ -15,6 +16,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** A send to the endpoint of [selected]; [isRepeated] if the request was sent there before. */
 internal class Send(
@@ -31,8 +33,28 @@
     @Volatile
     var start: SendStart? = null
 
+    /** Exchanges that the connection had completed when the request was written, or null before that. */
+    @Volatile
+    var connectionUses: Int? = null
+
     /** The response, if its head was received. */
     val received: SendStart.HeadReceived? get() = start as? SendStart.HeadReceived
+
+    /** What is known of the send, for the log. */
+    fun describe(): String {
+        val connection = when (val uses = connectionUses) {
+            null -> "no connection"
+            0 -> "new connection"
+            else -> "connection used $uses times"
+        }
+        val state = when (val start = start) {
+            null -> if (connectionUses == null) "not written" else "written"
+            is SendStart.NotSent -> "not sent"
+            is SendStart.NoResponse -> "no response"
+            is SendStart.HeadReceived -> if (start.headers.didNotRun) "refused" else "status ${start.head.status}"
+        }
+        return "${endpoint.incarnation.id}: $state, $connection"
+    }
 }
 
 /** The sends of [admitted]. */
@@ -40,17 +62,20 @@
     private val admitted: AdmittedRequest,
     private val connectionPool: ConnectionPool,
     private val endpointPool: EndpointPool,
+    private val log: EventLog,
     private val steadyMs: () -> Long,
 ) {
+    private val sends = CopyOnWriteArrayList<Send>()
+
     /** Ids of the endpoints that the request was sent to, in order. */
-    val endpointsUsed = ArrayList<String>()
+    val endpointsUsed: List<String> get() = sends.map { it.endpoint.incarnation.id }
 
     /** Sends that were only offers and that were refused as not run. */
     @Volatile
     var refusedOffers = 0
 
     /** Number of sends that count as attempts. */
-    val attempts: Int get() = endpointsUsed.size - refusedOffers
+    val attempts: Int get() = sends.size - refusedOffers
 
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
@@ -58,10 +83,13 @@
     fun begin(selected: EndpointSelection.Selected): Send {
         val endpoint = selected.endpoint
         val isRepeated = endpoint.incarnation.id in endpointsUsed
-        endpointsUsed.add(endpoint.incarnation.id)
         return Send(selected, endpointPool.exchanges.begin(endpoint, admitted.caller.demand), isRepeated)
+            .also(sends::add)
     }
 
+    /** What is known of each send, in order, for the log. */
+    fun describe(): List<String> = sends.map { it.describe() }
+
     /** Ends [send]; closes its connection unless the exchange is complete. */
     fun end(send: Send) {
         send.received?.exchange?.finish()
@@ -102,6 +130,20 @@
 
         override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint, send.reservedAtMs)
 
+        override fun onWriting(connectionUses: Int) {
+            send.connectionUses = connectionUses
+        }
+
+        override fun onUnrelated(status: Int, headers: EndpointResponseHeaders) = log.write(
+            "response-discarded",
+            "request" to admitted.request.attemptId,
+            "endpoint" to endpoint.incarnation.id,
+            "named" to headers.attemptId,
+            "status" to status,
+            "notRun" to headers.didNotRun,
+            "connectionUses" to send.connectionUses,
+        )
+
         override fun onHead(headers: EndpointResponseHeaders) {
             if (headers.saysLeaving(endpoint.incarnation.id)) endpointPool.outcomes.recordLeaving(endpoint)
             endpointPool.loads.onResponse(endpoint, headers)
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -23,8 +23,8 @@
     /** Output to the peer. */
     val sink = SocketOutput(socket as Selectable, selector)
 
-    /** Whether the connection was returned to the pool before. */
-    var wasUsed: Boolean = false
+    /** Number of exchanges after which the connection was returned to the pool. */
+    var completedExchanges: Int = 0
 
     /** Time until which the connection may be reused, in milliseconds of the monotonic clock. */
     var reusableUntilMs: Long = 0
@@ -82,7 +82,7 @@
             connection.close()
             return
         }
-        connection.wasUsed = true
+        connection.completedExchanges++
         connection.reusableUntilMs = steadyMs() + reusableMs
         val connections = idle.computeIfAbsent(connection.address) { ArrayDeque() }
         synchronized(connections) { connections.addLast(connection) }
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
@@ -40,7 +40,11 @@
 private object NoGuard : SendGuard {
     override fun maySend() = true
 
+    override fun onWriting(connectionUses: Int) = Unit
+
     override fun onHead(headers: EndpointResponseHeaders) = Unit
+
+    override fun onUnrelated(status: Int, headers: EndpointResponseHeaders) = Unit
 }
 
 private fun endpointAt(port: Int) = EndpointTable().run {
