--- /dev/null
+++ b/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
@@ -0,0 +1,83 @@
+package io.daisybend.entry
+
+import io.daisybend.entry.standin.Behaviour
+import io.daisybend.entry.standin.withSite
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.collections.shouldNotBeIn
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.seconds
+
+private const val LONG_TIMEOUT_MS = 15_000L
+
+/** Statuses that promise that a request has not run and never will. */
+private val promises = listOf(408, 421, 429, 503)
+
+/** Callers were told "not run" although an endpoint had run their request. */
+class RefusedAndRanTest : FunSpec({
+    test("a request is not answered by the copy of its refusal after its address has passed to another instance") {
+        withSite(prepare = { endpoints[1].zone = "south" }) {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            val (renamed, other) = endpoints
+            renamed.behaviours.addAll(listOf(Behaviour.MISDIRECT, Behaviour.REPEAT_REFUSAL))
+            other.pauseMs = 2_000
+            other.behaviours.add(Behaviour.REJECT_LATE)
+            val caller = connect()
+            caller.send("POST", "/once/x", "prompt")
+            eventually(1.seconds) { renamed.turnedAway shouldHaveSize 1 }
+            store.put("keyed.servers", renamed.id, null)
+            renamed.successorId = "e-3"
+            renamed.register()
+            val response = caller.read()
+            ran shouldHaveSize 1
+            response.status shouldNotBeIn promises
+        }
+    }
+
+    test("a stream that another engine may have run is not refused as not run by the engine that was silent") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            endpoints.forEach { it.pauseMs = 4_400 }
+            queueForAll(Behaviour.REJECT_LATE)
+            val caller = connect()
+            caller.send("POST", "/stream/x", "prompt")
+            eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
+            val other = endpoints.single { it.turnedAway.isEmpty() }
+            other.pauseMs = 3_000
+            other.behaviours.clear()
+            other.behaviours.add(Behaviour.LATE)
+            endpoints.forEach { endpoint -> repeat(MANY) { endpoint.behaviours.add(Behaviour.REJECT) } }
+            val response = caller.read()
+            ran shouldHaveSize 1
+            response.status shouldNotBeIn promises
+        }
+    }
+
+    test("a failure that an endpoint does not mark as not run is never passed on as a promise") {
+        withSite {
+            configure()
+            listOf(503, 429, 408).forEach { status ->
+                endpoints.forEach {
+                    it.ran.clear()
+                    it.failureStatus = status
+                }
+                queueForAll(Behaviour.FAIL)
+                withClue(status) {
+                    val response = connect().call("POST", "/once/x", "prompt")
+                    ran shouldHaveSize 1
+                    response.status shouldBe 502
+                }
+                endpoints.forEach { it.behaviours.clear() }
+                // An endpoint that failed is not used for a while.
+                delay(600)
+            }
+        }
+    }
+}) {
+    private companion object {
+        const val MANY = 30
+    }
+}
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
 /** How the endpoint handles one request. */
@@ -22,6 +23,12 @@
     LOSE_RESPONSE,
     REJECT,
 
+    /** Turns the request away after a pause of [FakeEndpoint.pauseMs]. */
+    REJECT_LATE,
+
+    /** Says that the request is meant for another instance. */
+    MISDIRECT,
+
     /** Turns the request away for the time of [FakeEndpoint.shedFor]. */
     SHED,
 
@@ -95,6 +102,17 @@
     @Volatile
     var crashesUnder: (FakeServerCall) -> Boolean = { false }
 
+    /** The id of the instance that has taken over the address of the endpoint, or null. */
+    @Volatile
+    var successorId: String? = null
+
+    /** The status of [Behaviour.FAIL]. */
+    @Volatile
+    var failureStatus = 500
+
+    /** Number of refusals that were written once more. */
+    val repeatedRefusals = AtomicInteger()
+
     /** Number of open connections of the endpoint. */
     var connectionCount: () -> Int = { 0 }
 
@@ -183,16 +201,11 @@
     val abandoned = CopyOnWriteArrayList<String>()
 
     suspend fun handle(call: FakeServerCall) {
-        if (call.header("X-Daisybend-Expect-Instance") != id) return call.respond(421)
+        if (call.header("X-Daisybend-Expect-Instance") != (successorId ?: id)) return call.respond(421)
         if (call.head.path == "/daisybend/report") return call.respond(200, report().encodeToByteArray())
         if (call.head.path == "/daisybend/order") return call.respond(409)
         val behaviour = behaviours.poll() ?: Behaviour.SERVE
-        if (behaviour == Behaviour.REJECT || behaviour == Behaviour.SHED) {
-            turnedAway.add(call)
-            refusedIds[call.source] = call.header("X-Daisybend-Attempt-Id")!!
-            val retryAfter = shedFor?.takeIf { behaviour == Behaviour.SHED }?.let { Header("Retry-After", it) }
-            return call.respond(503, headers = ownHeaders(call) + listOfNotNull(notExecuted, retryAfter))
-        }
+        if (behaviour in refusals) return refuse(call, behaviour)
         refusedIds[call.source]?.let { repeatRefusal(call, behaviour, it) }
         if (behaviour == Behaviour.LEAVE_IN_INTERIM_HEAD) {
             call.sink.writeAll(encodeHead("HTTP/1.1 103 Early Hints", listOf(leaving)))
@@ -208,6 +221,15 @@
         }
     }
 
+    private suspend fun refuse(call: FakeServerCall, behaviour: Behaviour) {
+        turnedAway.add(call)
+        refusedIds[call.source] = call.header("X-Daisybend-Attempt-Id")!!
+        if (behaviour == Behaviour.REJECT_LATE) delay(pauseMs)
+        if (behaviour == Behaviour.MISDIRECT) return call.respond(421, headers = ownHeaders(call))
+        val retryAfter = shedFor?.takeIf { behaviour == Behaviour.SHED }?.let { Header("Retry-After", it) }
+        call.respond(503, headers = ownHeaders(call) + listOfNotNull(notExecuted, retryAfter))
+    }
+
     private fun report(): String {
         val runs = running.joinToString { """["$it",100,$eventsMade,5]""" }
         return REPORT.removeSuffix("}") + if (listsRuns) ""","runs":[$runs]}""" else "}"
@@ -216,7 +238,7 @@
     private suspend fun run(call: FakeServerCall, behaviour: Behaviour) {
         when (behaviour) {
             Behaviour.LOSE_RESPONSE -> call.closeConnection()
-            Behaviour.FAIL -> call.respond(500, "failed".encodeToByteArray(), ownHeaders(call))
+            Behaviour.FAIL -> call.respond(failureStatus, "failed".encodeToByteArray(), ownHeaders(call))
             Behaviour.HANG -> if (!call.source.fill()) abandoned.add(call.header("X-Daisybend-Attempt-Id")!!)
             Behaviour.AT_DEADLINE -> {
                 val deadlineMs = call.header("X-Daisybend-Deadline-Ms")!!.toLong()
@@ -258,8 +280,9 @@
         when (behaviour) {
             Behaviour.REPEAT_REFUSAL -> call.respond(503, headers = listOf(notExecuted, id))
             Behaviour.REPEAT_REFUSAL_UNNAMED -> call.respond(503, headers = listOf(notExecuted))
-            else -> Unit
+            else -> return
         }
+        repeatedRefusals.incrementAndGet()
     }
 
     /** Sends half of the events of a stream, or of a whole response, with [framing], and then calls [end]. */
@@ -344,6 +367,8 @@
         const val EVENTS = 6
         private const val REPORT = """{"stage":"both","models":[],"busy":false,"seqNo":0,"queued":0,"running":0}"""
         const val DEADLY_PART = "dead"
+        private val refusals =
+            setOf(Behaviour.REJECT, Behaviour.REJECT_LATE, Behaviour.MISDIRECT, Behaviour.SHED)
         private val streamPaths = listOf("/stream/", "/events/")
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
