Never send a request again on a connection that carried its refusal

What callers saw: 503, a promise "not run", for a request that an endpoint ran. Cause: an endpoint may write a refusal once more. Where the same request is under way again on that connection, the id of the copy is right and tells nothing. A repeated send took a new connection only to the same incarnation, while connections are kept by address: after 421, when the list named another instance at the address, the request went out on the old connection. Change: a connection remembers which requests its peer refused on it, and is not taken for them again, whatever the address or the incarnation is called. After 64 refusals it is not kept. Other kept connections to the endpoint may now be used for a repeated send, which needed a new one before.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -113,8 +113,7 @@
 
 /**
  * Sends [request] to [endpoint] and waits for the response head; a long body may still be written in [scope] after the
- * return. A request that the endpoint has refused before [needsNewConnection]: on the old one the same refusal may come
- * once more.
+ * return.
  */
 internal suspend fun startSend(
     connectionPool: ConnectionPool,
@@ -123,12 +122,10 @@
     endpoint: Endpoint,
     headers: SendHeaders,
     connectTimeoutMs: Long,
-    needsNewConnection: Boolean,
     guard: SendGuard,
 ): SendStart {
     val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
-    val kept = if (needsNewConnection) null else connectionPool.takeIdle(address)
-    val connection = kept ?: connectionPool.connect(address, connectTimeoutMs)
+    val connection = connectionPool.takeIdle(address, request.attemptId) ?: connectionPool.connect(address, connectTimeoutMs)
         ?: return SendStart.NotSent("no connection to $address within $connectTimeoutMs ms")
     if (!guard.maySend()) {
         connection.close()
@@ -195,6 +192,7 @@
         if (head.isInterim) return@repeat
         val isUnnamedRefusal = headers.attemptId == null && headers.didNotRun
         val isOwn = headers.attemptId == request.attemptId || (isUnnamedRefusal && !wasKept)
+        if (isOwn && headers.didNotRun) connection.onRefused(request.attemptId)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
         guard.onUnrelated(head.status, headers)
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -18,12 +18,8 @@
 import kotlinx.coroutines.selects.select
 import java.util.concurrent.CopyOnWriteArrayList
 
-/** A send to the endpoint of [selected]; [isRepeated] if the request was sent there before. */
-internal class Send(
-    private val selected: EndpointSelection.Selected,
-    val tracked: TrackedExchange,
-    val isRepeated: Boolean,
-) {
+/** A send to the endpoint of [selected]. */
+internal class Send(private val selected: EndpointSelection.Selected, val tracked: TrackedExchange) {
     val endpoint: Endpoint get() = selected.endpoint
 
     /** When the endpoint was reserved, in milliseconds of the monotonic clock. */
@@ -82,9 +78,7 @@
     /** Begins a send to the endpoint of [selected] and reserves its load until [end]. */
     fun begin(selected: EndpointSelection.Selected): Send {
         val endpoint = selected.endpoint
-        val isRepeated = endpoint.incarnation.id in endpointsUsed
-        return Send(selected, endpointPool.exchanges.begin(endpoint, admitted.caller.demand), isRepeated)
-            .also(sends::add)
+        return Send(selected, endpointPool.exchanges.begin(endpoint, admitted.caller.demand)).also(sends::add)
     }
 
     /** What is known of each send, in order, for the log. */
@@ -110,7 +104,6 @@
                 send.endpoint,
                 headersFor(send.endpoint, lastEventId),
                 connectTimeoutMs = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS),
-                needsNewConnection = send.isRepeated,
                 guardOf(send),
             ).also { send.start = it }
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -26,9 +26,22 @@
     /** Number of exchanges after which the connection was returned to the pool. */
     var completedExchanges: Int = 0
 
+    private val refusedIds = ConcurrentHashMap.newKeySet<String>()
+
+    /** Whether the connection may get further requests: it remembers only so many refusals. */
+    val isReusable: Boolean get() = refusedIds.size < MAX_REFUSED_IDS
+
     /** Time until which the connection may be reused, in milliseconds of the monotonic clock. */
     var reusableUntilMs: Long = 0
 
+    /** Records that the peer refused [requestId] on this connection, and may write that refusal once more. */
+    fun onRefused(requestId: String) {
+        refusedIds.add(requestId)
+    }
+
+    /** Returns whether the peer refused [requestId] on this connection. */
+    fun hasRefused(requestId: String): Boolean = requestId in refusedIds
+
     /**
      * Closes the connection and drops what is not sent yet; a peer that still processes a request treats this as a
      * cancellation.
@@ -38,21 +51,27 @@
         // The socket alone keeps its channel open until the peer has read the rest.
         (socket as Selectable).channel.close()
     }
+
+    private companion object {
+        const val MAX_REFUSED_IDS = 64
+    }
 }
 
 /** Opens connections and keeps idle ones; [steadyMs] reads the monotonic clock. */
 internal class ConnectionPool(private val selector: SelectorManager, private val steadyMs: () -> Long) {
     private val idle = ConcurrentHashMap<SocketAddress, ArrayDeque<Connection>>()
 
-    /** Returns a reusable idle connection to [address], or null if there is none. */
-    fun takeIdle(address: SocketAddress): Connection? {
+    /**
+     * Returns a reusable idle connection to [address] on which [requestId] was not refused, or null if there is none. A
+     * refusal that comes once more looks like the response to the same request.
+     */
+    fun takeIdle(address: SocketAddress, requestId: String? = null): Connection? {
         val connections = idle[address] ?: return null
         synchronized(connections) {
-            while (true) {
-                val connection = connections.removeLastOrNull() ?: return null
-                if (connection.reusableUntilMs > steadyMs() && !connection.source.hasPendingInput) return connection
-                connection.close()
-            }
+            val (open, ended) = connections.partition { it.reusableUntilMs > steadyMs() && !it.source.hasPendingInput }
+            ended.forEach { it.close() }
+            connections.removeAll(ended)
+            return open.lastOrNull { requestId == null || !it.hasRefused(requestId) }?.also(connections::remove)
         }
     }
 
@@ -78,7 +97,7 @@
     fun release(connection: Connection, peerKeepAliveMs: Long?) {
         val reusableMs = peerKeepAliveMs?.let { it - it / KEEP_ALIVE_MARGIN_DIVISOR - KEEP_ALIVE_MARGIN_MS }
             ?: DEFAULT_KEEP_ALIVE_MS
-        if (reusableMs <= 0 || connection.source.hasPendingInput) {
+        if (reusableMs <= 0 || connection.source.hasPendingInput || !connection.isReusable) {
             connection.close()
             return
         }
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
@@ -85,7 +85,7 @@
                     withTimeout(10.seconds) {
                         val endpoint = endpointAt(server.localPort)
                         val start =
-                            startSend(pool, scope, request, endpoint, headers, CONNECT_TIMEOUT_MS, true, NoGuard)
+                            startSend(pool, scope, request, endpoint, headers, CONNECT_TIMEOUT_MS, NoGuard)
                         if (start !is SendStart.HeadReceived) {
                             start.shouldBeInstanceOf<SendStart.NoResponse>()
                         } else {
