Count offers in flight among the sends that may have run a request

What callers saw: 503, a promise "not run", for a stream that a second engine had been given. Cause: whether a request may have run was a flag of the primary send. An offer that was written and then cancelled or timed out, or that ended without a valid response, didn't set it, so a refusal by the engine that had been silent ended in 503. Evidence: RefusedAndRanTest, "a stream that another engine may have run ...", got 503 with one run before and passes now. Change: the state is read from the sends themselves: each that was written and not refused may have run, also while it goes on. This replaces the flags of the sender and of the stop. An offer that is under way when the silent engine refuses or fails is awaited instead of cancelled, since it may be accepted.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -134,9 +134,6 @@
         response.exchange.abort()
     }
 
-    private val SendStart?.isKnownUnrun: Boolean
-        get() = this is SendStart.NotSent || (this is SendStart.HeadReceived && headers.didNotRun)
-
     private companion object {
         /** Time in which an engine must accept an offer, in milliseconds: the reading of a long prompt. */
         const val OFFER_TIMEOUT_MS = 2_000L
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -66,9 +66,8 @@
     /** Records that the caller left before the end of its response. */
     fun onCallerLeft() = streamBinding.onInterrupted()
 
-    /** Whether an endpoint may have run the request. */
-    var mayHaveRun = false
-        private set
+    /** Whether an endpoint may run, or may have run, the request. */
+    val mayHaveRun: Boolean get() = sends.mayHaveRun
 
     /** Total time spent waiting for an endpoint, in milliseconds. */
     var waitedMs = 0L
@@ -104,8 +103,6 @@
 
     private var lastExchange: TrackedExchange? = null
 
-    /** Whether a send is in progress whose outcome is not known yet. */
-    private var isSending = false
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
     /** Sends the request until the caller has a response; unfinished writes of a send continue in [scope]. */
@@ -174,7 +171,7 @@
     /** Answers a caller whose request this VM can't finish because it stops; ends a response that has begun. */
     suspend fun answerAtShutdown(): RequestOutcome {
         val reason = "this VM stopped before the response was complete"
-        return if (mayHaveRun || isSending) fail(reason) else refuse(SendDeadlines.SHUTDOWN_RETRY_AFTER_MS, reason)
+        return if (mayHaveRun) fail(reason) else refuse(SendDeadlines.SHUTDOWN_RETRY_AFTER_MS, reason)
     }
 
     private suspend fun select(): EndpointSelection = when (val continuation = streamBinding.continuation()) {
@@ -255,10 +252,8 @@
     /** Waits for the response to [send] unless there is one, and passes it to the caller. */
     private suspend fun complete(scope: CoroutineScope, send: Send): SendResult {
         lastExchange = send.tracked
-        isSending = true
         try {
             val start = send.start ?: awaitFirstResponse(scope, send)
-            isSending = false
             return when (start) {
                 is SendStart.NotSent -> {
                     recorder.onNotSent(send, start)
@@ -283,17 +278,25 @@
                 }
                 val hasStarted = !admitted.route.resumable ||
                     handover.awaitStep(this, sending, startedAtMs, SilenceLimits.firstResponse)
-                if (hasStarted) handover.cancelOffer() else sending.cancelAndJoin()
-                !hasStarted
+                if (!hasStarted) sending.cancelAndJoin()
+                !hasStarted || isHandedOverAfter(send)
             }
         }
-        if (isHandedOver != true) return send.start ?: SendStart.NoResponse("no answer in time")
+        val start = send.start
+        val isTakenBack = isHandedOver == true && (start == null || start is SendStart.HeadReceived)
+        if (!isTakenBack || start.isKnownUnrun) return start ?: SendStart.NoResponse("no answer in time")
         send.received?.exchange?.abort()
         return SendStart.NoResponse("no answer, and another engine has accepted the request")
     }
 
+    /** Takes the pending offer back if [send] was answered; otherwise waits for it. Returns whether it was accepted. */
+    private suspend fun isHandedOverAfter(send: Send): Boolean {
+        if (send.received?.isAcceptance != true) return handover.awaitOffer()
+        handover.cancelOffer()
+        return false
+    }
+
     private fun onNoResponse(endpoint: Endpoint, start: SendStart.NoResponse): SendResult {
-        mayHaveRun = true
         recorder.onNoResponse(endpoint, start)
         val isEnded = start.connectionEnded
         return SendResult(SendOutcome.Unknown, start.reason, connectionEnded = isEnded, headReceived = false)
@@ -310,7 +313,6 @@
             return SendResult(SendOutcome.RejectedUnrun(status), "status $status, not run")
         }
         recorder.onHead(endpoint, response)
-        mayHaveRun = true
         if (status !in SUCCESS) return onEndpointFailure(endpoint, response, tracked)
         if (!response.headers.sealed) {
             response.exchange.abort()
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -18,6 +18,10 @@
 import kotlinx.coroutines.selects.select
 import java.util.concurrent.CopyOnWriteArrayList
 
+/** Whether the endpoint got no request or said that it has not run and will not run it. */
+internal val SendStart?.isKnownUnrun: Boolean
+    get() = this is SendStart.NotSent || (this is SendStart.HeadReceived && headers.didNotRun)
+
 /** A send to the endpoint of [selected]. */
 internal class Send(private val selected: EndpointSelection.Selected, val tracked: TrackedExchange) {
     val endpoint: Endpoint get() = selected.endpoint
@@ -36,6 +40,9 @@
     /** The response, if its head was received. */
     val received: SendStart.HeadReceived? get() = start as? SendStart.HeadReceived
 
+    /** Whether the endpoint may run, or may have run, the request. */
+    val mayHaveRun: Boolean get() = connectionUses != null && !start.isKnownUnrun
+
     /** What is known of the send, for the log. */
     fun describe(): String {
         val connection = when (val uses = connectionUses) {
@@ -81,6 +88,9 @@
         return Send(selected, endpointPool.exchanges.begin(endpoint, admitted.caller.demand)).also(sends::add)
     }
 
+    /** Whether an endpoint may run, or may have run, the request because of any send, also one that goes on. */
+    val mayHaveRun: Boolean get() = sends.any { it.mayHaveRun }
+
     /** What is known of each send, in order, for the log. */
     fun describe(): List<String> = sends.map { it.describe() }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SilentEngineHandover.kt
@@ -94,6 +94,13 @@
         if (nowMs - expectedAtMs > Standstill.TIMER_LATENESS_MS) lastPauseMs = expectedAtMs..nowMs
     }
 
+    /** Waits for the pending offer, since the engine has ended the request; returns whether it was accepted. */
+    suspend fun awaitOffer(): Boolean {
+        val pending = pendingOffer ?: return false
+        pendingOffer = null
+        return pending.await()
+    }
+
     /** Takes back what was offered, since the engine goes on with the request. */
     suspend fun cancelOffer() {
         val pending = pendingOffer ?: return
