--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -125,7 +125,8 @@
     guard: SendGuard,
 ): SendStart {
     val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
-    val connection = connectionPool.takeIdle(address, request.attemptId) ?: connectionPool.connect(address, connectTimeoutMs)
+    val kept = connectionPool.takeIdle(address, request.attemptId)
+    val connection = kept ?: connectionPool.connect(address, connectTimeoutMs)
         ?: return SendStart.NotSent("no connection to $address within $connectTimeoutMs ms")
     if (!guard.maySend()) {
         connection.close()
