Don't pass on an endpoint's own status that promises "not run"

What callers saw: 503, 429 or 408, each a promise "not run", for a request that an endpoint had run. Cause: a failure of an endpoint was passed on with its status, although only X-Daisybend-Not-Executed (or 421) says that the request did not run. Change: such a response counts as unknown; the request goes to another endpoint where its route allows that, else the caller gets 502.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -9,6 +9,7 @@
 import io.daisybend.entry.http.BodyFraming
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.platform.attemptIdHeader
+import io.daisybend.platform.promisesNotRun
 import io.daisybend.platform.retryAfterHeader
 import io.daisybend.serving.attempt.AttemptHistory
 import io.daisybend.serving.attempt.NextStep
@@ -345,6 +346,10 @@
                 EndpointCandidates(failedEndpoints + endpoint.incarnation.id, requiredVersion),
             )
         if (shouldRetry) return SendResult(outcome, "status $status")
+        if (promisesNotRun(status)) {
+            response.exchange.abort()
+            return SendResult(SendOutcome.Unknown, "status $status that does not say that the request has not run")
+        }
         return relay.relayWhole(endpoint, response, tracked).copy(outcome = outcome)
     }
 
