--- a/entry/src/main/kotlin/io/daisybend/entry/http/ByteSource.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ByteSource.kt
@@ -6,7 +6,6 @@
 package io.daisybend.entry.http
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -17,8 +16,13 @@
 /** The connection was reset or ended too early. */
 internal class ConnectionBrokenException(cause: Throwable?) : IOException("connection broken: ${cause?.message}", cause)
 
-/** Buffered input of [channel]; not safe for use by several coroutines at once. */
-internal class ByteSource(private val channel: ByteReadChannel) {
+/**
+ * Buffers [input], of which up to about [maxQueuedBytes] are kept before reading pauses; not safe for use by several
+ * coroutines at once.
+ */
+internal class ByteSource(private val input: ByteInput, private val maxQueuedBytes: Int = MAX_QUEUED_BYTES) {
+    constructor(channel: ByteReadChannel) : this(ChannelInput(channel))
+
     private val lock = Any()
     private val queue = ArrayDeque<ByteArray>()
     private var queuedBytes = 0
@@ -103,11 +107,11 @@
         val bytes = ByteArray(READ_BUFFER_BYTES)
         val inputEnd = try {
             while (true) {
-                val count = channel.readAvailable(bytes, 0, bytes.size)
+                val count = input.read(bytes)
                 if (count < 0) break
                 enqueue(bytes.copyOf(count))
             }
-            channel.closedCause?.let { InputEnd.Broken(it) } ?: InputEnd.Orderly
+            InputEnd.Orderly
         } catch (broken: IOException) {
             InputEnd.Broken(broken)
         } catch (closed: IllegalStateException) {
@@ -124,7 +128,7 @@
             receivedTotal += piece.size
         }
         dataAvailable.trySend(Unit)
-        while (synchronized(lock) { queuedBytes > MAX_QUEUED_BYTES }) spaceAvailable.receive()
+        while (synchronized(lock) { queuedBytes > maxQueuedBytes }) spaceAvailable.receive()
     }
 
     private fun memoryOf(piece: ByteArray) = piece.size + PIECE_OVERHEAD_BYTES
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -15,21 +15,25 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 
-/** An open connection. */
-internal class Connection(private val socket: Socket, selector: SelectorManager, val address: SocketAddress) {
-    /** Bytes received from the peer. */
-    val source = ByteSource(socket.openReadChannel())
-
+/** An open connection to [address], directly or through the VM [relayedBy]. */
+internal class Connection(
+    private val socket: Socket,
+    selector: SelectorManager,
+    val address: SocketAddress,
+    val relayedBy: String? = null,
     /** Output to the peer. */
-    val sink = SocketOutput(socket as Selectable, selector)
-
+    val sink: SocketOutput = SocketOutput(socket as Selectable, selector),
+    /** Bytes received from the peer. */
+    val source: ByteSource = ByteSource(socket.openReadChannel()),
+    private val mayGoOn: () -> Boolean = { true },
+) {
     /** Number of exchanges after which the connection was returned to the pool. */
     var completedExchanges: Int = 0
 
     private val refusedIds = ConcurrentHashMap.newKeySet<String>()
 
-    /** Whether the connection may get further requests: it remembers only so many refusals. */
-    val isReusable: Boolean get() = refusedIds.size < MAX_REFUSED_IDS
+    /** Whether the connection may get further requests: it remembers only so many refusals, and a relay may stop. */
+    val isReusable: Boolean get() = refusedIds.size < MAX_REFUSED_IDS && mayGoOn()
 
     /** Time until which the connection may be reused, in milliseconds of the monotonic clock. */
     var reusableUntilMs: Long = 0
@@ -57,6 +61,13 @@
     }
 }
 
+/** Opens a socket that is connected to [address]. */
+internal suspend fun openSocket(selector: SelectorManager, address: SocketAddress): Socket =
+    aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
+        noDelay = true
+        keepAlive = true
+    }
+
 /** Opens connections and keeps idle ones; [steadyMs] reads the monotonic clock. */
 internal class ConnectionPool(private val selector: SelectorManager, private val steadyMs: () -> Long) {
     private val idle = ConcurrentHashMap<SocketAddress, ArrayDeque<Connection>>()
@@ -68,7 +79,7 @@
     fun takeIdle(address: SocketAddress, requestId: String? = null): Connection? {
         val connections = idle[address] ?: return null
         synchronized(connections) {
-            val (open, ended) = connections.partition { it.reusableUntilMs > steadyMs() && !it.source.hasPendingInput }
+            val (open, ended) = connections.partition(::isUsable)
             ended.forEach { it.close() }
             connections.removeAll(ended)
             return open.lastOrNull { requestId == null || !it.hasRefused(requestId) }?.also(connections::remove)
@@ -78,11 +89,7 @@
     /** Opens a connection to [address]; returns null if that fails or takes longer than [timeoutMs]. */
     suspend fun connect(address: SocketAddress, timeoutMs: Long): Connection? = try {
         withTimeoutOrNull(timeoutMs) {
-            val socket = aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
-                noDelay = true
-                keepAlive = true
-            }
-            Connection(socket, selector, address)
+            Connection(openSocket(selector, address), selector, address)
         }
     } catch (cancelled: CancellationException) {
         throw cancelled
@@ -118,17 +125,24 @@
 
     /** Closes idle connections that may not be reused any more. */
     fun closeExpired() {
-        val now = steadyMs()
-        idle.values.forEach { connections ->
-            synchronized(connections) {
-                connections.filter { it.reusableUntilMs <= now || it.source.hasPendingInput }.forEach {
-                    connections.remove(it)
-                    it.close()
-                }
+        closeIdle { !isUsable(it) }
+    }
+
+    /** Closes the idle connections that go through [vm]. */
+    fun closeIdleRelayedBy(vm: String) = closeIdle { it.relayedBy == vm }
+
+    private fun closeIdle(mustClose: (Connection) -> Boolean) = idle.values.forEach { connections ->
+        synchronized(connections) {
+            connections.filter(mustClose).forEach {
+                connections.remove(it)
+                it.close()
             }
         }
     }
 
+    private fun isUsable(connection: Connection) =
+        connection.reusableUntilMs > steadyMs() && !connection.source.hasPendingInput && connection.isReusable
+
     private companion object {
         /**
          * How long a connection is kept if the peer states no keep-alive timeout, in milliseconds: below one second.
--- a/entry/src/main/kotlin/io/daisybend/entry/http/SocketOutput.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/SocketOutput.kt
@@ -17,8 +17,14 @@
     private val channel = socket.channel as GatheringByteChannel
     private val writing = Mutex()
 
+    /** Number of bytes of which the sending has begun. */
+    @Volatile
+    var begunBytes = 0L
+        private set
+
     /** Sends all [pieces] in order; throws [java.io.IOException] if the connection ends before. */
     suspend fun writeAll(vararg pieces: ByteArray) = writing.withLock {
+        begunBytes += pieces.sumOf { it.size }
         val slices = pieces.flatMap(::slicesOf).toTypedArray()
         var first = 0
         while (first < slices.size) {
