Relay connections of peers on the peer port

RelayServer listens on TCP at the peer port and connects peers with endpoints of its own table; the graceful stop waits for relays as for callers.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -37,6 +37,8 @@
 import io.daisybend.entry.peers.toReports
 import io.daisybend.entry.peers.toStreamReports
 import io.daisybend.entry.peers.toUses
+import io.daisybend.entry.relay.RelayLimits
+import io.daisybend.entry.relay.RelayServer
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
 import io.daisybend.entry.store.ListSharing
@@ -247,14 +249,29 @@
     private val peerLink: PeerLink =
         PeerLink(selector, peers, reportSchedule, log, load, ::steadyMs, ::buildReport, ::onPeerReport)
 
+    private val relayServer = RelayServer(
+        selector,
+        connectionPool,
+        settings.vm,
+        RelayLimits.forDescriptors(settings.maxFileDescriptors),
+        mayRelayTo = { target -> table.all().any { it.entry.host == target.host && it.entry.port == target.port } },
+        mayHelp = { !stopState.isStopping },
+        log,
+        metrics,
+        ::steadyMs,
+    )
     private val gracefulStop = GracefulStop(
         stopState,
         callers,
+        relaysUnderWay = relayServer::inProgress,
         requestHandler,
         bounds.graceMs,
         log,
         ::steadyMs,
-        onBegun = ::reportSoon,
+        onBegun = {
+            reportSoon()
+            relayServer.startDraining()
+        },
         // Another VM must wait for the handover gap before it sends orders, so this VM sends orders until it ends or
         // until its next process takes over.
         onDrained = {
@@ -306,6 +323,7 @@
             scope.launch { controlServer.accept(server, scope) }
         }
         peerLink.start(scope, settings.ip, settings.peerPort)
+        relayServer.start(scope, settings.ip, settings.peerPort)
         scope.launch {
             // Requests are admitted once a configuration is known, and by then the quarantines should be.
             quarantineKeeper.load()
--- a/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/GracefulStop.kt
@@ -19,6 +19,7 @@
 internal class GracefulStop(
     private val state: StopState,
     private val callers: CallerServer,
+    private val relaysUnderWay: () -> Int,
     private val requestHandler: RequestHandler,
     private val graceMs: Long,
     private val log: EventLog,
@@ -52,13 +53,19 @@
             "stopping",
             "underWay" to callers.requestsInProgress,
             "connections" to callers.connectionCount,
+            "relays" to relaysUnderWay(),
             "sinceRequestMs" to steadyMs() - requestedAtMs,
         )
         onBegun()
         delay(requestedAtMs + minOf(ACCEPT_WHILE_STOPPING_MS, graceMs / 3) - steadyMs())
         closeListener()
         callers.startDraining()
-        log.write("draining", "underWay" to callers.requestsInProgress, "connections" to callers.connectionCount)
+        log.write(
+            "draining",
+            "underWay" to callers.requestsInProgress,
+            "connections" to callers.connectionCount,
+            "relays" to relaysUnderWay(),
+        )
         awaitConnectionsUntil(endsAtMs)
         requestHandler.endUnanswered()
         awaitConnectionsUntil(endsAtMs + FINAL_ANSWERS_MS)
@@ -67,6 +74,7 @@
             "stopped",
             "underWay" to callers.requestsInProgress,
             "connections" to callers.connectionCount,
+            "relays" to relaysUnderWay(),
             "tookMs" to steadyMs() - requestedAtMs,
         )
         delay(POLL_INTERVAL_MS)
@@ -74,13 +82,14 @@
     }
 
     /**
-     * Waits until [deadlineMs] for the end of all connections, and closes those that are idle. A request in progress
-     * keeps its connection, and so do bytes of a response that the system has not taken. After a pause of this VM, the
-     * requests that came meanwhile are read first; the polls are as late as the reads, with which they share threads.
+     * Waits until [deadlineMs] for the end of all connections and relays, and closes the connections that are idle. A
+     * request in progress keeps its connection, and so do bytes of a response that the system has not taken. After a
+     * pause of this VM, the requests that came meanwhile are read first; the polls are as late as the reads, with which
+     * they share threads.
      */
     private suspend fun awaitConnectionsUntil(deadlineMs: Long) = withContext(Dispatchers.Default) {
         var closeFromMs = steadyMs() + Standstill.UNREAD_INPUT_MS
-        while (callers.connectionCount > 0 && steadyMs() < deadlineMs) {
+        while ((callers.connectionCount > 0 || relaysUnderWay() > 0) && steadyMs() < deadlineMs) {
             val pollAtMs = steadyMs() + POLL_INTERVAL_MS
             delay(POLL_INTERVAL_MS)
             val nowMs = steadyMs()
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ByteSource.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ByteSource.kt
@@ -138,16 +138,16 @@
         class Broken(val cause: Throwable) : InputEnd
     }
 
-    private companion object {
-        const val READ_BUFFER_BYTES = 4_096
-
+    companion object {
         /** Number of queued bytes above which reading from the connection pauses. */
         const val MAX_QUEUED_BYTES = 65_536
 
+        private const val READ_BUFFER_BYTES = 4_096
+
         /** Memory of an array beside its elements, in bytes; a sender may choose to send tiny segments. */
-        const val PIECE_OVERHEAD_BYTES = 24
+        private const val PIECE_OVERHEAD_BYTES = 24
 
         /** Scope of the reader coroutines; each ends with its connection. */
-        val readerScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        private val readerScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -86,10 +86,19 @@
         }
     }
 
-    /** Opens a connection to [address]; returns null if that fails or takes longer than [timeoutMs]. */
-    suspend fun connect(address: SocketAddress, timeoutMs: Long): Connection? = try {
+    /**
+     * Opens a connection to [address], which queues up to [maxQueuedBytes]; returns null if that fails or takes longer
+     * than [timeoutMs].
+     */
+    suspend fun connect(
+        address: SocketAddress,
+        timeoutMs: Long,
+        maxQueuedBytes: Int = ByteSource.MAX_QUEUED_BYTES,
+    ): Connection? = try {
         withTimeoutOrNull(timeoutMs) {
-            Connection(openSocket(selector, address), selector, address)
+            val socket = openSocket(selector, address)
+            val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
+            Connection(socket, selector, address, source = source)
         }
     } catch (cancelled: CancellationException) {
         throw cancelled
--- a/entry/src/main/kotlin/io/daisybend/entry/relay/RelayClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/relay/RelayClient.kt
@@ -34,13 +34,11 @@
     suspend fun connect(peer: Peer, target: SocketAddress, timeoutMs: Long): RelayResult {
         val startedAtMs = steadyMs()
         var socket: Socket? = null
-        var connected: RelayResult.Connected? = null
         val result = try {
             withTimeoutOrNull(timeoutMs) {
                 val opened = openSocket(selector, peer.address).also { socket = it }
                 val remainingMs = timeoutMs - (steadyMs() - startedAtMs)
                 open(opened, peer, target, remainingMs - remainingMs / REPLY_SHARE)
-                    .also { connected = it as? RelayResult.Connected }
             } ?: RelayResult.PeerUnavailable("no answer within $timeoutMs ms")
         } catch (cancelled: CancellationException) {
             socket?.close()
@@ -48,7 +46,6 @@
         } catch (failed: Exception) {
             RelayResult.PeerUnavailable(failed.message ?: failed.javaClass.simpleName)
         }
-        if (result !== connected) connected?.connection?.close()
         if (result !is RelayResult.Connected) socket?.close()
         write(result, peer, target, startedAtMs)
         return result
