--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -15,6 +15,7 @@
 import io.daisybend.entry.http.readHeadLines
 import io.daisybend.entry.http.writeAll
 import io.daisybend.platform.Header
+import io.daisybend.platform.SocketAddress
 import io.daisybend.platform.readVmSettings
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.matchers.shouldBe
@@ -135,6 +136,9 @@
     val peerPort = ListenerPorts.next()
     lateinit var vm: EntryVm
 
+    /** Address of the last endpoint. */
+    lateinit var endpointAddress: SocketAddress
+
     /** Port of the store. */
     var storePort = 0
         private set
@@ -151,6 +155,7 @@
             val server = FakeServer(scope, endpoint::handle).start(selector)
             // A server that is down has no port to ask for.
             val port = server.port
+            endpointAddress = SocketAddress("127.0.0.1", port)
             var starts = 1
             endpoint.register = { register(endpoint, port, bornMs = starts) }
             endpoint.register()
