Tell a lost relay from an endpoint that broke off

A helping VM that is killed says nothing about the endpoint, but both arrived as the same break, and a VM that is cut off would take each for an engine that has ended. The cause of the break names which it was. RelayTest and RelayStopTest pass.

--- a/entry/src/main/kotlin/io/daisybend/entry/relay/RelayInput.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/relay/RelayInput.kt
@@ -10,6 +10,12 @@
 import io.ktor.utils.io.readLong
 import java.io.IOException
 
+/** The connection to the peer ended, which says nothing about the endpoint. */
+internal class RelayLostException(reason: String, cause: Throwable? = null) : IOException("relay lost: $reason", cause)
+
+/** The endpoint's connection to the peer broke, or ended before the endpoint had all bytes. */
+internal class RelayedEndpointBrokeException(reason: String) : IOException(reason)
+
 /** Reads the frames of [channel]; [begunBytes] is the number of bytes whose sending to the endpoint has begun. */
 internal class RelayInput(private val channel: ByteReadChannel, private val begunBytes: () -> Long) : ByteInput {
     private var frameBytes = 0
@@ -26,9 +32,14 @@
 
     override suspend fun read(bytes: ByteArray): Int = try {
         readFrames(bytes)
+    } catch (endpointBroke: RelayedEndpointBrokeException) {
+        end = endpointBroke.message
+        throw endpointBroke
     } catch (broken: IOException) {
-        end = broken.message ?: broken.javaClass.simpleName
-        throw broken
+        val lost = broken as? RelayLostException
+            ?: RelayLostException(broken.message ?: broken.javaClass.simpleName, broken)
+        end = lost.message
+        throw lost
     }
 
     private suspend fun readFrames(bytes: ByteArray): Int {
@@ -37,11 +48,11 @@
                 RelayFrame.END -> return finish(channel.readLong())
                 RelayFrame.STOPPING -> isPeerStopping = true
                 in 0..RelayFrame.MAX_DATA_BYTES -> frameBytes = code
-                else -> throw IOException("expected a frame of a relay, got code $code")
+                else -> throw RelayLostException("expected a frame, got code $code")
             }
         }
         val count = channel.readAvailable(bytes, 0, minOf(bytes.size, frameBytes))
-        if (count < 0) throw IOException("expected $frameBytes more bytes of a frame, got the end of the relay")
+        if (count < 0) throw RelayLostException("expected $frameBytes more bytes of a frame, got none")
         frameBytes -= count
         return count
     }
@@ -51,9 +62,11 @@
      * that ends its connection before it has the whole request leaves no complete answer.
      */
     private fun finish(forwardedBytes: Long): Int {
-        if (forwardedBytes == RelayFrame.BROKEN) throw IOException("the endpoint's connection broke")
+        if (forwardedBytes == RelayFrame.BROKEN) throw RelayedEndpointBrokeException("the endpoint's connection broke")
         val begun = begunBytes()
-        if (forwardedBytes < begun) throw IOException("the endpoint got $forwardedBytes of $begun bytes")
+        if (forwardedBytes < begun) {
+            throw RelayedEndpointBrokeException("expected the endpoint to get $begun bytes, it got $forwardedBytes")
+        }
         end = "endpoint ended"
         return -1
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/relay/RelayLimits.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/relay/RelayLimits.kt
@@ -17,7 +17,7 @@
 ) {
     companion object {
         private const val MAX_RELAYS = 512
-        private const val MAX_QUEUED_BYTES = 32_768
+        private const val MAX_QUEUED_BYTES = 16_384
         private const val REQUEST_TIMEOUT_MS = 1_000L
         private const val MAX_CONNECT_TIMEOUT_MS = 2_000L
 
--- a/entry/src/test/kotlin/io/daisybend/entry/relay/RelayTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/relay/RelayTest.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runInterruptible
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
 import java.io.OutputStream
 import java.net.ServerSocket
 import java.net.Socket
@@ -40,7 +41,12 @@
     nowMs() - startedAtMs
 }
 
-private fun Result<Any>.shouldBeBroken() = exceptionOrNull().shouldBeInstanceOf<ConnectionBrokenException>()
+/** Expects a broken connection: that of the peer if [isPeerLost], otherwise that of the endpoint. */
+private fun Result<Any>.shouldBeBroken(isPeerLost: Boolean = false) {
+    val broken = exceptionOrNull().shouldBeInstanceOf<ConnectionBrokenException>()
+    broken.cause.shouldBeInstanceOf<IOException>()::class shouldBe
+        if (isPeerLost) RelayLostException::class else RelayedEndpointBrokeException::class
+}
 
 /** Relays like a VM, up to a frame of data, and then ends as the system ends the connections of a killed process. */
 private fun ServerSocket.relayAndDie() = accept().use { hop ->
@@ -111,7 +117,7 @@
                 rig.scope.launch(Dispatchers.IO) { killed.relayAndDie() }
                 val result = rig.connect(peer = rig.peerAt(killed.localPort))
                 val connection = result.shouldBeInstanceOf<RelayResult.Connected>().connection
-                runCatching { connection.source.readToEnd() }.shouldBeBroken()
+                runCatching { connection.source.readToEnd() }.shouldBeBroken(isPeerLost = true)
             }
         }
     }
@@ -197,7 +203,7 @@
             pool.takeIdle(target).shouldBeNull()
             val (idle, endpoint) = open()
             endpoint.awaitClose() shouldBeLessThan 400 + QUICK_MS
-            runCatching { idle.source.readToEnd() }.shouldBeBroken()
+            runCatching { idle.source.readToEnd() }.shouldBeBroken(isPeerLost = true)
             eventually(1.seconds) { server.inProgress shouldBe 0 }
         }
     }
