--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -15,8 +15,7 @@
 import io.daisybend.entry.exchange.RequestFingerprinter
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
-import io.daisybend.entry.http.ConnectionPool
-import io.daisybend.entry.http.PooledHttpClient
+import io.daisybend.entry.http.OutgoingConnections
 import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
@@ -102,9 +101,8 @@
     private val metrics = Metrics()
     private val load = LoadMonitor(log, metrics, ::steadyMs)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val connectionPool = ConnectionPool(selector, ::steadyMs)
-    private val httpClient = PooledHttpClient(connectionPool)
-    private val store = StoreClient(httpClient, settings.storeAddress)
+    private val connections = OutgoingConnections(selector, ::steadyMs)
+    private val store = StoreClient(connections.calls, settings.storeAddress)
     private val storeCallLog = StoreCallLog(store.calls, metrics, log)
     private val table = EndpointTable()
     private val reportSchedule = ReportSchedule(settings.linkMbps)
@@ -170,7 +168,7 @@
         )
     private val pauses = EndpointPauses()
     private val departures =
-        EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
+        EndpointDepartures(table, connections, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val stopState = StopState()
     private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
     private val prefixCaches = PrefixCaches(table, ::kvCapacityOf, log, ::steadyMs)
@@ -193,11 +191,12 @@
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
-    private val engineClient = EngineClient(httpClient, departures::onResponse, endpointLoads::onEngineReport)
+    private val engineClient =
+        EngineClient(connections.calls, connections.orders, departures::onResponse, endpointLoads::onEngineReport)
     private val requestHandler = RequestHandler(
-        connectionPool,
+        connections.requests,
         endpointPool,
-        EngineEndDetector(connectionPool, quarantine, log, ::steadyMs),
+        EngineEndDetector(connections.requests, quarantine, log, ::steadyMs),
         EngineRuns(engineClient, log, ::steadyMs),
         teamRateLimiter,
         responseMemory,
@@ -411,7 +410,7 @@
         while (true) {
             delay(MAINTENANCE_INTERVAL_MS)
             val now = steadyMs()
-            connectionPool.closeExpired()
+            connections.closeExpired()
             peers.removeExpired(now)
             prefixCaches.removeUnloaded()
             endpointLoads.retainPeers(peers.aliveReports(now).mapTo(HashSet()) { it.vm })
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointDepartures.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointDepartures.kt
@@ -5,7 +5,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
-import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.entry.http.OutgoingConnections
 import io.daisybend.platform.SocketAddress
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
@@ -13,7 +13,7 @@
 /** Takes leaving endpoints out of use; calls [onChange] and [requestEarlyReport] for each that this VM learns of. */
 internal class EndpointDepartures(
     private val table: EndpointTable,
-    private val connectionPool: ConnectionPool,
+    private val connections: OutgoingConnections,
     private val log: EventLog,
     private val steadyMs: () -> Long,
     private val onChange: () -> Unit,
@@ -33,7 +33,7 @@
     private fun takeOutOfUse(endpoint: Incarnation, source: String) {
         table.onLeaving(endpoint)
         table.find(endpoint.id)?.takeIf { it.incarnation == endpoint }?.let {
-            connectionPool.closeIdle(SocketAddress(it.entry.host, it.entry.port))
+            connections.closeIdle(SocketAddress(it.entry.host, it.entry.port))
         }
         log.write("endpoint-leaving", "endpoint" to endpoint.id, "bornMs" to endpoint.bornMs, "source" to source)
         onChange()
