Give reports and orders connections of their own

What callers saw: nothing by itself; a report or an order took the copy of a refused request's answer, or an order that of a report or of the order before, for its own answer. A report is still read on a kept connection: what can come there once more is an older report. Ruled out: reading past a body that looks like a report, which does not help after another order, and keeping the connection of an order for reports, which a late copy would shift by one.

--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -14,8 +14,14 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Makes HTTP calls; closes the connection of a call that fails or times out. */
-internal class PooledHttpClient(private val connectionPool: ConnectionPool) : HttpClient {
+/**
+ * Makes HTTP calls; closes the connection of a call that fails or times out. Each call has a connection of its own unless
+ * [keepsConnections].
+ */
+internal class PooledHttpClient(
+    private val connectionPool: ConnectionPool,
+    private val keepsConnections: Boolean = true,
+) : HttpClient {
     override suspend fun call(
         address: SocketAddress,
         method: String,
@@ -29,7 +35,7 @@
         val response = try {
             withTimeoutOrNull(timeoutMs) {
                 val connection =
-                    connectionPool.takeIdle(address)
+                    (if (keepsConnections) connectionPool.takeIdle(address) else null)
                         ?: connectionPool.connect(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
                         ?: return@withTimeoutOrNull Err(HttpCallFailed(target, "no connection to $address"))
                 usedConnection = connection
@@ -59,7 +65,7 @@
         val head = readFinalHead(connection, method)
         val reader = BodyReader(connection.source, head.framing)
         val responseBody = reader.readAll(maxResponseBytes)
-        if (head.keepAlive) connectionPool.release(connection, head.keepAliveMs) else connection.close()
+        if (head.keepAlive && keepsConnections) connectionPool.release(connection, head.keepAliveMs) else connection.close()
         return Ok(HttpResponse(head.status, head.headers, responseBody))
     }
 
