Let the engines of the soak refuse late, twice, without a word, and as others

Engines write refusals once more where the next answer on a connection is due, refuse half of their requests after 1 to 5 s or at once, answer some with 503 or 429 without the header, fall silent for a second, and go on as another instance at the same address. The ledger reports REFUSED for streams that may be resumed, too.

--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakEngine.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakEngine.kt
@@ -3,6 +3,7 @@
  */
 package io.daisybend.entry.soak
 
+import io.daisybend.entry.http.ByteSource
 import io.daisybend.entry.http.encodeChunk
 import io.daisybend.entry.http.encodeHead
 import io.daisybend.entry.http.writeAll
@@ -18,11 +19,23 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import java.io.IOException
+import java.util.Random
 import java.util.concurrent.ConcurrentHashMap
 
 /** How an engine handles requests. */
 internal enum class EngineMood { SOUND, FAILING, REFUSING, BREAKING, EXTRA_ANSWERS }
 
+/** How an engine turns some of its requests away, or seems to. */
+internal sealed interface EngineRefusal {
+    data class AtOnce(val status: Int) : EngineRefusal
+
+    /** After a silence of [silenceMs]. */
+    data class Late(val silenceMs: Long) : EngineRefusal
+
+    /** Runs the request, and answers with [status] and no word on whether it has run. */
+    data class Unmarked(val status: Int) : EngineRefusal
+}
+
 /** Header with the shape of the answer that a caller wants: events, pause between them in ms, bytes of padding. */
 internal const val SHAPE_HEADER = "X-Soak-Shape"
 
@@ -37,7 +50,12 @@
     private val isProxied: Boolean,
     private val ignoresClose: Boolean,
     private val listsRuns: Boolean,
+    /** Whether the engine writes refusals once more, where the next answer on the connection is due. */
+    private val repeatsRefusals: Boolean = false,
+    seed: Long = 0,
 ) {
+    private val random = Random(seed)
+    private val refusalsToRepeat = ConcurrentHashMap<ByteSource, suspend (FakeServerCall) -> Unit>()
     private val server = FakeServer(scope, ::handle)
     private val running = ConcurrentHashMap.newKeySet<Run>()
 
@@ -60,6 +78,10 @@
     @Volatile
     var mood = EngineMood.SOUND
 
+    /** What happens to half of the requests, or null. */
+    @Volatile
+    var refusal: EngineRefusal? = null
+
     /** The engine writes nothing before this time of the time line. */
     @Volatile
     var silentUntilMs = 0L
@@ -132,6 +154,20 @@
         timeline.note("engine $id is back")
     }
 
+    /** Goes on as the instance [nextId], which the list names [staleMs] later; open connections stay. */
+    suspend fun changeInstance(nextId: String, staleMs: Long) {
+        if (isDown || !isListed) return
+        val before = id
+        timeline.note("engine $before is now $nextId, listed in $staleMs ms")
+        isListed = false
+        id = nextId
+        delay(staleMs)
+        store.put("keyed.servers", before, null)
+        bornMs = System.currentTimeMillis()
+        isListed = true
+        publish()
+    }
+
     private fun end() {
         isDown = true
         running.forEach { it.finish(RunEnd.BROKEN_OFF, timeline.nowMs) }
@@ -139,33 +175,59 @@
 
     private suspend fun handle(call: FakeServerCall) {
         if (isDown) return call.closeConnection()
+        refusalsToRepeat.remove(call.source)?.invoke(call)
         val expected = call.header("X-Daisybend-Expect-Instance")
-        if (expected != null && expected != id) return call.respond(421, headers = listOf(notExecuted))
+        if (expected != null && expected != id) return refuse(call, 421)
         when (call.head.path) {
             "/daisybend/report" -> return call.respond(200, report().encodeToByteArray())
             "/daisybend/order" -> return call.respond(200)
         }
         val attemptId = call.header("X-Daisybend-Attempt-Id") ?: return call.respond(400, headers = listOf(notExecuted))
         val named = Header("X-Daisybend-Attempt-Id", attemptId)
-        if (mood == EngineMood.REFUSING) return call.respond(503, headers = listOf(named, notExecuted))
+        if (mood == EngineMood.REFUSING) return refuse(call, 503)
+        val refusal = refusal?.takeIf { random.nextBoolean() }
+        if (refusal is EngineRefusal.AtOnce) return refuse(call, refusal.status)
+        if (refusal is EngineRefusal.Late) {
+            delay(refusal.silenceMs)
+            return refuse(call, 503)
+        }
         val firstEvent = (call.header("Last-Event-Id")?.toInt() ?: 0) + 1
         val run = ledger.run(id, attemptId, firstEvent, ignoresClose)
         running.add(run)
         try {
-            work(call, run, named)
+            work(call, run, named, (refusal as? EngineRefusal.Unmarked)?.status)
         } finally {
             running.remove(run)
             run.finish(RunEnd.DROPPED, timeline.nowMs)
         }
     }
 
-    /** Works on [run] until it is done or, unless this engine ignores that, its connection is closed. */
-    private suspend fun work(call: FakeServerCall, run: Run, named: Header) = coroutineScope {
+    /** Answers [call] with [status] and as not run; the answer may come once more. */
+    private suspend fun refuse(call: FakeServerCall, status: Int) {
+        val named = call.header("X-Daisybend-Attempt-Id")?.let { Header("X-Daisybend-Attempt-Id", it) }
+        val headers = listOfNotNull(named, notExecuted)
+        call.respond(status, headers = headers)
+        if (named == null || !repeatsRefusals || random.nextBoolean()) return
+        refusalsToRepeat[call.source] = { next ->
+            timeline.note("engine $id writes the refusal of ${named.value} once more")
+            next.respond(status, headers = headers)
+        }
+    }
+
+    /**
+     * Works on [run] until it is done or, unless this engine ignores that, its connection is closed; fails with
+     * [failureStatus] if that is set.
+     */
+    private suspend fun work(call: FakeServerCall, run: Run, named: Header, failureStatus: Int?) = coroutineScope {
         val working = launch {
             val shape = call.header(SHAPE_HEADER).orEmpty().split(',').map { it.toInt() }
             val headers = listOf(named, Header("X-Daisybend-Response-Seal", run.seal))
             try {
-                if (service == "llm") stream(call, run, headers, shape) else answer(call, run, headers, shape)
+                when {
+                    failureStatus != null -> fail(call, run, headers, failureStatus)
+                    service == "llm" -> stream(call, run, headers, shape)
+                    else -> answer(call, run, headers, shape)
+                }
             } catch (closed: IOException) {
                 if (!ignoresClose) throw closed
                 delay(shape[0] * shape[1].toLong())
@@ -230,9 +292,9 @@
         call.sink.writeLastChunk()
     }
 
-    private suspend fun fail(call: FakeServerCall, run: Run, headers: List<Header>) {
+    private suspend fun fail(call: FakeServerCall, run: Run, headers: List<Header>, status: Int = 500) {
         if (!run.finish(RunEnd.FAILED, timeline.nowMs)) return call.closeConnection()
-        call.respond(500, "failed".encodeToByteArray(), headers)
+        call.respond(status, "failed".encodeToByteArray(), headers)
     }
 
     private fun report() = """{"stage":"both","models":[${if (service == "llm") MODEL else ""}],"busy":false,
--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakFaults.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakFaults.kt
@@ -61,6 +61,15 @@
                 delay(action.lastsMs)
                 engine.mood = EngineMood.SOUND
             }
+            is SoakAction.EngineRefuses -> {
+                val engine = site.engines[action.engine]
+                timeline.note("engine ${engine.id}: ${action.refusal} for ${action.lastsMs} ms")
+                engine.refusal = action.refusal
+                delay(action.lastsMs)
+                engine.refusal = null
+            }
+            is SoakAction.EngineInstanceChange ->
+                site.engines[action.engine].changeInstance(site.nextEngineId(), action.staleMs)
             is SoakAction.EngineLink -> {
                 val engine = site.engines[action.engine]
                 engine.proxy?.let { disturb(listOf(it), engine.id, action.fault, action.lastsMs) }
--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakLedger.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakLedger.kt
@@ -91,7 +91,7 @@
 
     private fun refused(attempt: Attempt, attemptRuns: List<Run>): Violation? {
         val isRefused = attempt.end == AttemptEnd.ANSWERED && attempt.status in promises
-        return if (isRefused && attempt.route.isOnce && attemptRuns.isNotEmpty()) {
+        return if (isRefused && attempt.route != SoakRoute.SAFE && attemptRuns.isNotEmpty()) {
             violation("REFUSED", "answered ${attempt.status} and has run", attempt, attemptRuns)
         } else {
             null
--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakLedgerTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakLedgerTest.kt
@@ -179,6 +179,7 @@
         }
         refused(503, SoakRoute.ONCE).shouldContainExactly("REFUSED")
         refused(429, SoakRoute.STREAM).shouldContainExactly("REFUSED")
+        refused(503, SoakRoute.RESUME).shouldContainExactly("REFUSED")
         refused(503, SoakRoute.SAFE).shouldBeEmpty()
         refused(502, SoakRoute.ONCE).shouldBeEmpty()
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakPlan.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakPlan.kt
@@ -31,6 +31,12 @@
 
     data class EngineMoodChange(val engine: Int, val mood: EngineMood, val lastsMs: Long) : SoakAction
 
+    /** Half of the requests of the engine meet [refusal]. */
+    data class EngineRefuses(val engine: Int, val refusal: EngineRefusal, val lastsMs: Long) : SoakAction
+
+    /** Another instance goes on at the engine's address, and the list names it [staleMs] later. */
+    data class EngineInstanceChange(val engine: Int, val staleMs: Long) : SoakAction
+
     data class EngineLink(val engine: Int, val fault: LinkFault, val lastsMs: Long) : SoakAction
 
     data class CallerLink(val vm: Int, val fault: LinkFault, val lastsMs: Long) : SoakAction
@@ -69,15 +75,19 @@
     /** Whether engines list the requests that they work on in their reports; drawn apart from what else a seed does. */
     val enginesListRuns = Random(seed * MAX_TRACKS + MAX_TRACKS - 1).nextInt(4) > 0
 
+    /** Engines that write refusals once more; drawn apart, too. */
+    val repeatingEngines: Set<Int> = Random(seed * MAX_TRACKS + MAX_TRACKS - 2)
+        .let { drawn -> (0 until engines).filter { drawn.nextBoolean() }.toSet() }
+
     /** Whether only planned work is done to VMs, links and the store. */
     val isCalm = random.nextInt(5) < 2
 
     /** What is done beside each other; the steps of a shorter run are the first ones of a longer run. */
     val tracks: List<List<SoakStep>> =
-        listOfNotNull(::stops, ::hangUps, ::configurations, ::engineFaults, ::unplanned.takeUnless { isCalm })
+        listOf(::stops, ::hangUps, ::configurations, ::engineFaults, ::unplanned, ::refusals)
             .mapIndexed { index, draw ->
                 random = Random(seed * MAX_TRACKS + index)
-                draw()
+                if (isCalm && draw == ::unplanned) emptyList() else draw()
             }
 
     private fun upTo(maxMs: Long, minMs: Long = 0) = random.nextLong(minMs, maxMs)
@@ -120,6 +130,18 @@
         }
     }
 
+    private fun refusals() = steps(500, 2_500) {
+        val engine = random.nextInt(engines)
+        val status = listOf(503, 429).random(random)
+        when (random.nextInt(10)) {
+            0, 1 -> SoakAction.EngineInstanceChange(engine, upTo(1_500))
+            2, 3 -> SoakAction.EngineSilence(engine, upTo(1_500, 700))
+            4, 5, 6 -> SoakAction.EngineRefuses(engine, EngineRefusal.Late(upTo(5_000, 1_000)), upTo(3_000, 1_000))
+            7, 8 -> SoakAction.EngineRefuses(engine, EngineRefusal.AtOnce(status), upTo(1_500, 100))
+            else -> SoakAction.EngineRefuses(engine, EngineRefusal.Unmarked(status), upTo(600, 100))
+        }
+    }
+
     private fun unplanned() = steps(5_000, 14_000) {
         val vm = random.nextInt(vms)
         when (random.nextInt(8)) {
@@ -137,7 +159,8 @@
 
     override fun toString() = "seed $seed: $vms VMs (tight: $tightVms), $modelEngines model engines, $plainEngines " +
         "plain engines, $callers callers, gap $callerGapMs ms, calm: $isCalm, engines that ignore a close: " +
-        "$ignoringEngines, behind proxies: $proxiedEngines, engines list their runs: $enginesListRuns"
+        "$ignoringEngines, behind proxies: $proxiedEngines, engines list their runs: $enginesListRuns, engines that " +
+        "write refusals once more: $repeatingEngines"
 
     companion object {
         /** Engines of the service that routes are moved to and from. */
--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakSite.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakSite.kt
@@ -115,6 +115,8 @@
         isProxied = index in plan.proxiedEngines,
         ignoresClose = index in plan.ignoringEngines,
         listsRuns = plan.enginesListRuns,
+        repeatsRefusals = index in plan.repeatingEngines,
+        seed = plan.seed + index,
     ).start(selector)
 
     @Synchronized
