--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -15,8 +15,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Makes HTTP calls; closes the connection of a call that fails or times out. Each call has a connection of its own unless
- * [keepsConnections].
+ * Makes HTTP calls; closes the connection of a call that fails or times out. Each call has a connection of its own
+ * unless [keepsConnections].
  */
 internal class PooledHttpClient(
     private val connectionPool: ConnectionPool,
@@ -65,7 +65,8 @@
         val head = readFinalHead(connection, method)
         val reader = BodyReader(connection.source, head.framing)
         val responseBody = reader.readAll(maxResponseBytes)
-        if (head.keepAlive && keepsConnections) connectionPool.release(connection, head.keepAliveMs) else connection.close()
+        val isKept = keepsConnections && head.keepAlive
+        if (isKept) connectionPool.release(connection, head.keepAliveMs) else connection.close()
         return Ok(HttpResponse(head.status, head.headers, responseBody))
     }
 
--- a/entry/src/test/kotlin/io/daisybend/entry/http/CallConnectionsTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/http/CallConnectionsTest.kt
@@ -81,8 +81,10 @@
 
     suspend fun orderCount() = client.report(entry, TIMEOUT_MS).get()?.orderCount
 
-    suspend fun order() =
-        client.order(entry, EngineOrder.UnloadModel("m1", waitsForRuns = true), 7, OrderAuthority("vm-1", 1), TIMEOUT_MS)
+    suspend fun order(): OrderAnswer {
+        val order = EngineOrder.UnloadModel("m1", waitsForRuns = true)
+        return client.order(entry, order, orderCount = 7, OrderAuthority("vm-1", epoch = 1), TIMEOUT_MS)
+    }
 }
 
 private suspend fun withCalls(check: suspend Calls.() -> Unit) {
