Let an answer count as broken off only once its writer has ended

What callers saw: 502 for an answer without a length that had arrived whole. An orderly end completes it only if the request was sent, and on a busy machine the endpoint may read, answer and close before the thread that wrote the request goes on. EarlyAnswerTest shows it with a writer that ends 100 ms late: connection broken before, complete now. Change: the end of the connection waits up to 500 ms for the writer.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -27,6 +27,7 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 
 /** A request whose body was read completely. */
@@ -66,12 +67,18 @@
 ) {
     // An endpoint may answer, and reset the connection, before it has read the request; the reader may then see an
     // orderly end, which completes a response only once the whole request was sent.
-    val body = BodyReader(connection.source, head.framing, mayEndWithConnection = ::isRequestSent)
+    val body = BodyReader(connection.source, head.framing, mayEndWithConnection = ::awaitRequestSent)
     private var hasEnded = false
 
     @OptIn(ExperimentalCoroutinesApi::class)
     private fun isRequestSent() = writeJob.isCompleted && !writeJob.isCancelled && writeJob.getCompleted()
 
+    /** Waits for the writer, which may go on only after the endpoint has read, answered and closed. */
+    private suspend fun awaitRequestSent(): Boolean {
+        withTimeoutOrNull(WRITER_DELAY_MS) { writeJob.join() }
+        return isRequestSent()
+    }
+
     /**
      * Ends the exchange; returns the connection to the pool if request and response are complete, otherwise closes it.
      * Later calls have no effect: the connection may belong to another exchange by then.
@@ -94,6 +101,11 @@
         writeJob.cancel()
         connection.close()
     }
+
+    private companion object {
+        /** Longest delay of a writer that has sent everything, on a VM that has little processor time. */
+        const val WRITER_DELAY_MS = 500L
+    }
 }
 
 /** Watches over a send. */
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
@@ -7,6 +7,7 @@
 import io.daisybend.entry.http.readAll
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.SendHeaders
+import io.daisybend.platform.SocketAddress
 import io.daisybend.serving.endpoint.EndpointEntry
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
@@ -19,7 +20,9 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import java.io.IOException
 import java.net.InetAddress
@@ -100,6 +103,30 @@
         server.close()
     }
 
+    // On a busy machine the endpoint reads a request, answers and closes before the thread that wrote it goes on.
+    test("an answer without a length is complete if its request was sent, also when the writer ends late") {
+        val server = ServerSocket(0, TRIES, InetAddress.getLoopbackAddress())
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        val serving = thread { repeat(2) { server.accept().use { it.getOutputStream().write(PART.toByteArray()) } } }
+        SelectorManager(Dispatchers.IO).use { selector ->
+            val pool = ConnectionPool(selector) { System.nanoTime() / 1_000_000 }
+            suspend fun exchange(isSent: Boolean) = EndpointExchange(
+                pool,
+                pool.connect(SocketAddress("127.0.0.1", server.localPort), CONNECT_TIMEOUT_MS)!!,
+                parseResponseHead(listOf("HTTP/1.1 200 OK"), "POST"),
+                writeJob = scope.async {
+                    delay(100)
+                    isSent
+                },
+            )
+            exchange(isSent = true).body.readAll(100).decodeToString() shouldBe PART
+            shouldThrow<IOException> { exchange(isSent = false).body.readAll(100) }
+        }
+        serving.join()
+        scope.cancel()
+        server.close()
+    }
+
     test("a status outside 100 to 599 is no answer, whatever follows it") {
         listOf("000", "099", "600", "999", "-20", "+20", "20", "2000", "2x0", "").forEach { status ->
             withClue(status) {
