--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -90,7 +90,7 @@
 ) {
     private val events = Channel<OrderEvent>(Channel.UNLIMITED)
     private val trackers = HashMap<String, EngineTracker>()
-    private val reportRequestedAtMs = HashMap<String, Long>()
+    private val reportPacing = ReportPacing()
     private val usageHistory = UsageHistory()
     private val lastRequestCounts = HashMap<String, HashMap<String, Int>>()
     private val announcements = HoldingsAnnouncements()
@@ -171,7 +171,7 @@
         if (current == lastEpoch) return log.write("duty-turn", "epoch" to current, "resumed" to true)
         lastEpoch = current
         trackers.clear()
-        reportRequestedAtMs.clear()
+        reportPacing.clear()
         lastRequestCounts.clear()
         coldDemand.clear()
         // No peer announced what this process ordered itself, which holds in a new era of the store.
@@ -226,6 +226,7 @@
     }
 
     private fun onReported(event: OrderEvent.Reported) {
+        reportPacing.onResult(event.engine, isReported = event.report != null)
         val tracker = trackers[event.engine] ?: return
         val report = event.report ?: return
         val previousLoad = tracker.runningLoad
@@ -324,6 +325,7 @@
         }
         trackers.keys.retainAll(knownIds)
         announcements.retain(knownIds)
+        reportPacing.retain(knownIds)
     }
 
     private fun toEngineSnapshot(
@@ -386,10 +388,8 @@
     private fun requestReportIfNeeded(scope: CoroutineScope, tracker: EngineTracker, now: Long) {
         val id = tracker.incarnation.id
         if (!tracker.shouldReadReport(now) || tracker.outstandingOrder != null) return
-        val sinceRequestedMs = now - (reportRequestedAtMs[id] ?: Long.MIN_VALUE / 2)
-        if (sinceRequestedMs < REPORT_INTERVAL_MS) return
         val entry = table.find(id)?.takeUnless(eligibility::isEvacuated)?.entry ?: return
-        reportRequestedAtMs[id] = now
+        if (!reportPacing.tryRequest(id, now)) return
         scope.launch {
             val report = engineClient.report(entry, REPORT_TIMEOUT_MS)
                 .onFailure { log.write("report-failed", "engine" to id, "reason" to it.message) }
@@ -458,12 +458,6 @@
         /** Delay after the expected end of a load at which the load counts as complete, in milliseconds. */
         const val LOAD_SETTLE_DELAY_MS = 13L
 
-        /**
-         * Minimum interval between report requests to one engine, in milliseconds: an engine's report lags by about 100
-         * ms.
-         */
-        const val REPORT_INTERVAL_MS = 120L
-
         /**
          * Timeout for the answer to an order, in milliseconds: many times the usual duration; the order may be sent
          * again.
