Move the order duty off a VM that is cut off from all engines

The holder kept its lease, planned with what it last knew, and sent orders, also to unload models, into the void.

- A holder that reaches no engine sends no orders and plans nothing; it goes on following the list, asks for reports ever less often, and requires a report of each engine once its links are back.
- It hands over if another candidate reaches engines; VMs that are cut off are no candidates while another one is not.
If none reaches them it keeps the duty and goes on as soon as its links are back.
- Loads that ended while the holder did not see it, or before its takeover, no longer count as slow ones for the limit on loads from the store.

A VM does not know yet by itself that it is cut off: EntryVm passes the defaults.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -17,6 +17,7 @@
 import io.daisybend.entry.exchange.StopState
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.http.PooledHttpClient
+import io.daisybend.entry.orders.DutyCandidates
 import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
@@ -218,15 +219,17 @@
         metrics,
         ::steadyMs,
     )
+    private val dutyCandidates = DutyCandidates(settings.vm, ::candidatePeers)
     private val leaseManager: LeaseManager = LeaseManager(
         store,
         clocks,
         ownHolder,
         DutySettings(handoverGapMs = bounds.handoverGapMs),
         log,
-        { candidateRank() },
+        ::dutyRank,
         ::onDutyAcquired,
         ::reportSoon,
+        dutyCandidates::shouldHandOver,
     )
     private val orderController: OrderController = OrderController(
         leaseManager,
@@ -474,19 +477,25 @@
             configuration.confirmationAgeMs() < bounds.revokeMs - KEY_REVOCATION_MARGIN_MS
 
     /**
-     * Returns the rank of this VM among the candidates for the order duty, 0 first, or null if it is not a candidate.
-     * The VM [excluding] is left out of the ranking.
+     * Returns the rank of this VM among the VMs that may hold the order duty, 0 first, or null if it may not. The VM
+     * [excluding] is left out of the ranking.
      */
     private fun candidateRank(excluding: String? = null): Int? {
         if (stopState.isStopping && leaseManager.currentEpoch() == null) return null
+        if (configuration.confirmationAgeMs() > configuration.times.maxUsableAgeMs) return null
+        val others = candidatePeers().map { it.vm } - setOfNotNull(excluding)
+        return rankByRendezvous(DutyCandidates.RANKING_KEY, others + settings.vm).indexOf(settings.vm)
+    }
+
+    private fun candidatePeers(): List<PeerReport> {
         val maxAgeMs = configuration.times.maxUsableAgeMs
-        if (configuration.confirmationAgeMs() > maxAgeMs) return null
-        val others = peers.aliveReports(steadyMs())
-            .filter { !it.stopping && it.storeAgeMs < maxAgeMs && it.vm != excluding }
-            .map { it.vm }
-        return rankByRendezvous("order-duty", others + settings.vm).indexOf(settings.vm)
+        return peers.aliveReports(steadyMs()).filter { !it.stopping && it.storeAgeMs < maxAgeMs }
     }
 
+    /** Returns the rank for taking the order duty, or null if this VM is no candidate; a holder renews all the same. */
+    private fun dutyRank(): Int? =
+        candidateRank()?.let { if (leaseManager.currentEpoch() != null) it else dutyCandidates.rank() }
+
     private fun rankAmongVms(key: String): Int =
         rankByRendezvous(key, peers.aliveReports(steadyMs()).map { it.vm } + settings.vm).indexOf(settings.vm)
 
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/LeaseManager.kt
@@ -23,7 +23,10 @@
 import io.daisybend.serving.site.ClockPair
 import kotlinx.coroutines.delay
 
-/** Drives the [DutyLease] of this VM with the store and the reports of peers. */
+/**
+ * Drives the [DutyLease] of this VM with the store and the reports of peers, and hands over when [shouldHandOver] says
+ * so. Calls [reportSoon] when the peers must learn of a change before the next regular report.
+ */
 internal class LeaseManager(
     private val store: StoreClient,
     private val clocks: ClockPair,
@@ -32,7 +35,8 @@
     private val log: EventLog,
     private val rank: () -> Int?,
     private val onAcquired: () -> Unit,
-    private val onRenewalFailed: () -> Unit,
+    private val reportSoon: () -> Unit,
+    private val shouldHandOver: () -> Boolean = { false },
 ) {
     private val lock = Any()
     private val lease = DutyLease(ownHolder, settings, clocks.read())
@@ -44,6 +48,9 @@
     /** Returns whether the holder before was this process, in an earlier era of the store. */
     fun succeedsItself(): Boolean = predecessor()?.holder == ownHolder
 
+    /** Returns the epoch that this VM gave up and took back with its current one, or null. */
+    fun takenBackEpoch(): Long? = synchronized(lock) { lease.takenBackEpoch }
+
     /** Returns the holder before this VM, or null. */
     fun predecessor(): DutyPredecessor? = synchronized(lock) { lease.predecessor }
 
@@ -103,14 +110,22 @@
     /** Gives up the duty for good; returns whether this VM held it, so that the peers must be told. */
     fun releaseLease(): Boolean {
         val wasHeld = synchronized(lock) { lease.release(clocks.read()) }
-        if (wasHeld) log.write("duty-released", "epoch" to newestRecord()?.epoch)
+        if (wasHeld) log.write("duty-released", "epoch" to newestRecord()?.epoch, "reason" to "stopping")
         return wasHeld
     }
 
+    private fun handOverIfDue() {
+        if (currentEpoch() == null || !shouldHandOver()) return
+        if (!synchronized(lock) { lease.handOver(clocks.read()) }) return
+        log.write("duty-released", "epoch" to newestRecord()?.epoch, "reason" to "cut-off")
+        reportSoon()
+    }
+
     /** Renews or tries to acquire the lease until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
             followEra()
+            handOverIfDue()
             val candidateRank = rank()
             val step = candidateRank?.let { synchronized(lock) { lease.nextStep(clocks.read(), it) } } ?: DutyStep.Wait
             when (step) {
@@ -171,7 +186,7 @@
         if (failure is StoreFailure.OffsetConflict) return onAppendConflict(atOffset, failure.end)
         synchronized(lock) { lease.onCallFailed() }
         // Peers have to append the renewal while the lease is valid; the next regular report may be too late.
-        if (currentEpoch() != null) onRenewalFailed()
+        if (currentEpoch() != null) reportSoon()
         log.write("duty-append-failed", "offset" to atOffset, "reason" to failure.message)
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/orders/OrderController.kt
@@ -72,7 +72,10 @@
     data object WakeUp : OrderEvent
 }
 
-/** Plans and sends orders to engines while [leaseManager] holds the lease. */
+/**
+ * Plans and sends orders to engines while [leaseManager] holds the lease. While [isCutOff] says that this VM reaches no
+ * engine it sends none, and draws no conclusion from missing reports.
+ */
 internal class OrderController(
     private val leaseManager: LeaseManager,
     private val engineClient: EngineClient,
@@ -87,6 +90,7 @@
     private val load: LoadMonitor,
     private val metrics: Metrics,
     private val steadyMs: () -> Long,
+    private val isCutOff: () -> Boolean = { false },
 ) {
     private val events = Channel<OrderEvent>(Channel.UNLIMITED)
     private val trackers = HashMap<String, EngineTracker>()
@@ -115,6 +119,10 @@
     private var endpointsChangedAtMs = 0L
     private var activeEpoch: Long? = null
     private var lastEpoch: Long? = null
+    private var wasCutOff = false
+
+    /** Since when this VM sees the ends of loads, in milliseconds of the monotonic clock. */
+    private var watchingSinceMs = 0L
 
     /** Returns the holdings of engines for a report to the peers; see [HoldingsAnnouncements.reports]. */
     fun announcements(changedSinceMs: Long?): List<HoldingsReport> = announcements.reports(changedSinceMs, steadyMs())
@@ -144,6 +152,7 @@
             val current = leaseManager.currentEpoch()
             if (current != activeEpoch) onEpochChanged(current)
             if (current == null) continue
+            followContact()
             val startedAtMs = steadyMs()
             load.measure(Activity.PLAN_ORDERS) { reconcile(scope, current) }
             // Planning takes at most half of the time, so that it leaves the rest to requests.
@@ -160,6 +169,18 @@
         return (nextMs - now).coerceIn(1, RECONCILE_INTERVAL_MS)
     }
 
+    /** Requires a report of each engine once this VM reaches them again: delayed orders may have taken effect. */
+    private fun followContact() {
+        val isCutOffNow = isCutOff()
+        if (isCutOffNow == wasCutOff) return
+        wasCutOff = isCutOffNow
+        log.write(if (isCutOffNow) "duty-orders-paused" else "duty-orders-resumed", "epoch" to activeEpoch)
+        if (isCutOffNow) return
+        watchingSinceMs = steadyMs()
+        reportPacing.clear()
+        trackers.values.forEach { it.requireReport() }
+    }
+
     private fun onEpochChanged(current: Long?) {
         activeEpoch = current
         if (current == null) {
@@ -167,9 +188,12 @@
             monitor.reset()
             return
         }
-        // The state stays valid when the same epoch resumes, since no other VM has sent orders in the meantime.
-        if (current == lastEpoch) return log.write("duty-turn", "epoch" to current, "resumed" to true)
+        // The state stays valid when no other VM has sent orders in the meantime.
+        val isTakenBack = lastEpoch != null && leaseManager.takenBackEpoch() == lastEpoch
+        val isResumed = current == lastEpoch || isTakenBack
         lastEpoch = current
+        if (isTakenBack) wasCutOff = true
+        if (isResumed) return log.write("duty-turn", "epoch" to current, "resumed" to true)
         trackers.clear()
         reportPacing.clear()
         lastRequestCounts.clear()
@@ -183,6 +207,7 @@
     /** Takes over the loads that the last holder announced; each engine's own is taken with its first tracker. */
     private fun takeOver(epoch: Long) {
         val now = steadyMs()
+        watchingSinceMs = now
         val predecessor = leaseManager.predecessor()
         val shortestLoadMs = configuration()?.shortestStoreLoadMs() ?: 0
         val loads = predecessor?.let { inheritedLoads.predecessorLoads(it.rightEndedAtMs, shortestLoadMs) }
@@ -240,7 +265,8 @@
         val now = steadyMs()
         val coldLoadMs = configuration()?.configuration?.services?.values
             ?.firstNotNullOfOrNull { it.engine?.models?.get(load.model) }?.coldLoadMs
-        if (load.model in tracker.holdings.models && coldLoadMs != null) storeLoads.onEnded(load, coldLoadMs, now)
+        val isMeasured = load.model in tracker.holdings.models && load.startedAtMs >= watchingSinceMs
+        if (isMeasured && coldLoadMs != null) storeLoads.onEnded(load, coldLoadMs, now)
         logLoadEnd(tracker, load, source = "report")
     }
 
@@ -257,8 +283,6 @@
         "source" to source,
     )
 
-    private fun EngineTracker.announcedModel() = runningLoad?.model ?: pendingModel
-
     private fun announce(tracker: EngineTracker) {
         val id = tracker.incarnation.id
         val now = steadyMs()
@@ -297,6 +321,7 @@
             val engineSpec = service.engine ?: return@forEach
             val engines = table.ofService(service.name).mapNotNull { toEngineSnapshot(it, engineSpec, uses, now) }
             engines.forEach { requestReportIfNeeded(scope, it.tracker, now) }
+            if (wasCutOff) return@forEach
             val others = trackers.values - engines.mapTo(HashSet()) { it.tracker }
             val allowance = storeLoads.allowance(others, engineSpec.loadsPerSecond, now)
             val serviceDemand = queuedDemand.filter { it.service == service.name }.map { it.toQueuedDemand() } +
@@ -415,8 +440,8 @@
             "storeLoads" to storeLoads.underWay(trackers.values, now).takeIf { order is EngineOrder.LoadModel },
         )
         scope.launch {
-            // The lease is checked again immediately before the order is sent.
-            val answer = if (leaseManager.currentEpoch() == epoch) {
+            // Checked again immediately before the order is sent.
+            val answer = if (leaseManager.currentEpoch() == epoch && !isCutOff()) {
                 engineClient.order(entry, order, orderCount, OrderAuthority(ownVm, epoch), ORDER_TIMEOUT_MS)
             } else {
                 OrderAnswer.Conflict
@@ -475,6 +500,8 @@
     }
 }
 
+private fun EngineTracker.announcedModel() = runningLoad?.model ?: pendingModel
+
 /** Returns the least time that a load from the weight store takes, in milliseconds, or null without models. */
 private fun RouteTable.shortestStoreLoadMs(): Long? =
     configuration.services.values.flatMap { it.engine?.models?.values.orEmpty() }.minOfOrNull { it.coldLoadMs }
