--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -253,7 +253,7 @@
 
     private val relayServer = RelayServer(
         selector,
-        connectionPool,
+        connections.requests,
         settings.vm,
         RelayLimits.forDescriptors(settings.maxFileDescriptors),
         mayRelayTo = { target -> table.all().any { it.entry.host == target.host && it.entry.port == target.port } },
