Don't offer a request again to an engine that left an offer unanswered

Offers that were neither accepted nor refused now exclude their engine. A response of 4xx no longer waits for a pending offer.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -205,7 +205,7 @@
         if (head.isInterim) return@repeat
         val isUnnamedRefusal = headers.attemptId == null && headers.didNotRun
         val isOwn = headers.attemptId == request.attemptId || (isUnnamedRefusal && !wasKept)
-        if (isOwn && headers.didNotRun) connection.onRefused(request.attemptId)
+        if (isOwn && head.status !in SUCCESS) connection.onRefused(request.attemptId)
         if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
         guard.onUnrelated(head.status, headers)
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineOffers.kt
@@ -9,6 +9,7 @@
 import io.daisybend.serving.endpoint.Endpoint
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
 
 /** The engine that has a request, and what another one needs to go on with it. */
 internal class OfferedRequest(
@@ -39,6 +40,9 @@
     /** The engine whose last report counted events that had not arrived, and how many had, or null. */
     private var undelivered: Pair<Endpoint, Int>? = null
 
+    /** Ids of the endpoints that got an offer and neither accepted nor refused it. */
+    val failedEndpoints: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
     /** The send of the engine that has accepted the request, or null. */
     @Volatile
     var accepted: Send? = null
@@ -105,13 +109,13 @@
     }
 
     private fun others(request: OfferedRequest) = EndpointCandidates(
-        request.failedEndpoints + request.engine.incarnation.id,
+        request.failedEndpoints + failedEndpoints + request.engine.incarnation.id,
         request.engine.entry.softwareVersion,
         mayHaveRun = true,
     )
 
     private fun onRefused(send: Send) {
-        if (send.start.isKnownUnrun) sends.refusedOffers++
+        if (send.start.isKnownUnrun) sends.refusedOffers++ else failedEndpoints.add(send.endpoint.incarnation.id)
         when (val start = send.start) {
             is SendStart.NotSent -> recorder.onNotSent(send, start)
             is SendStart.NoResponse -> recorder.onNoResponse(send.endpoint, start)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -23,6 +23,7 @@
 import io.daisybend.serving.stream.SoftwareVersion
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
@@ -97,6 +98,7 @@
             steadyMs,
         )
     private val failedEndpoints = HashSet<String>()
+    private val excludedEndpoints: Set<String> get() = failedEndpoints + offers.failedEndpoints
 
     /** The version of the engines' software that the stream has to go on at, or null. */
     var requiredVersion: SoftwareVersion? = null
@@ -104,6 +106,9 @@
 
     private var lastExchange: TrackedExchange? = null
 
+    /** The check whether the endpoint of the last send has ended, if it has begun. */
+    private var endCheck: Deferred<Boolean>? = null
+
     private val remainingMs: Long get() = admitted.deadlineAtMs - steadyMs()
 
     /** Sends the request until the caller has a response; unfinished writes of a send continue in [scope]. */
@@ -177,10 +182,10 @@
 
     private suspend fun select(): EndpointSelection = when (val continuation = streamBinding.continuation()) {
         Continuation.Anywhere ->
-            endpointPool.select(admitted, EndpointCandidates(failedEndpoints, mayHaveRun = mayHaveRun))
+            endpointPool.select(admitted, EndpointCandidates(excludedEndpoints, mayHaveRun = mayHaveRun))
         is Continuation.AtVersion -> {
             requiredVersion = continuation.version
-            endpointPool.select(admitted, EndpointCandidates(failedEndpoints, continuation.version, mayHaveRun))
+            endpointPool.select(admitted, EndpointCandidates(excludedEndpoints, continuation.version, mayHaveRun))
         }
         Continuation.Unknown -> EndpointSelection.Unavailable(
             "the version that began the stream ${admitted.caller.resumedAttemptId} is unknown",
@@ -193,12 +198,17 @@
         val events = lastExchange?.progress?.eventCount ?: 0
         if (result.connectionEnded && result.headReceived) endpointPool.outcomes.recordConnectionLost(endpoint)
         if (!result.connectionEnded || events >= ResponseRelay.PROVEN_EVENTS) return false
+        val check = endCheck ?: checkEnd(endpoint, result.headReceived)
+        return admitted.route.mayRetry && check.await()
+    }
+
+    /** Checks whether [endpoint], which ended the connection, has ended under the request. */
+    private fun checkEnd(endpoint: Endpoint, headReceived: Boolean): Deferred<Boolean> {
         val prompt = admitted.sharedPartIds.takeIf { it.isNotEmpty() }
-            ?.let { SuspectRequest(it, hasStarted = result.headReceived) }
+            ?.let { SuspectRequest(it, hasStarted = headReceived) }
         // Which engines run a request without a response head is unknown, so fingerprints carry no such claim.
         val request = SuspectRequest(listOf(endpointPool.outcomes.fingerprintOf(admitted).part), hasStarted = false)
-        val check = endDetector.onBroken(endpoint, admitted.request.attemptId, listOfNotNull(prompt, request))
-        return admitted.route.mayRetry && check.await()
+        return endDetector.onBroken(endpoint, admitted.request.attemptId, listOfNotNull(prompt, request))
     }
 
     private fun decideNextStep(result: SendResult, endpoint: Endpoint, hasEnded: Boolean): NextStep {
@@ -253,6 +263,7 @@
     /** Waits for the response to [send] unless there is one, and passes it to the caller. */
     private suspend fun complete(scope: CoroutineScope, send: Send): SendResult {
         lastExchange = send.tracked
+        endCheck = null
         try {
             val start = send.start ?: awaitFirstResponse(scope, send)
             return when (start) {
@@ -290,9 +301,16 @@
         return SendStart.NoResponse("no answer, and another engine has accepted the request")
     }
 
-    /** Takes the pending offer back if [send] was answered; otherwise waits for it. Returns whether it was accepted. */
+    /** Waits for the pending offer if [send] was refused or failed, else takes it back; returns if it was accepted. */
     private suspend fun isHandedOverAfter(send: Send): Boolean {
-        if (send.received?.isAcceptance != true) return handover.awaitOffer()
+        val received = send.received
+        if (received == null || received.headers.didNotRun || received.head.status >= FIRST_SERVER_ERROR) {
+            // An engine that restarts accepts connections again before the offer is decided.
+            if ((send.start as? SendStart.NoResponse)?.connectionEnded == true) {
+                endCheck = checkEnd(send.endpoint, headReceived = false)
+            }
+            return handover.awaitOffer()
+        }
         handover.cancelOffer()
         return false
     }
@@ -343,7 +361,7 @@
             remainingMs > MIN_RETRY_TIME_MS &&
             endpointPool.hasAlternative(
                 admitted,
-                EndpointCandidates(failedEndpoints + endpoint.incarnation.id, requiredVersion),
+                EndpointCandidates(excludedEndpoints + endpoint.incarnation.id, requiredVersion),
             )
         if (shouldRetry) return SendResult(outcome, "status $status")
         if (promisesNotRun(status)) {
--- a/entry/src/test/kotlin/io/daisybend/entry/EndpointDepartureTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/EndpointDepartureTest.kt
@@ -1,11 +1,9 @@
 package io.daisybend.entry
 
-import ch.qos.logback.classic.Logger
-import ch.qos.logback.classic.spi.ILoggingEvent
-import ch.qos.logback.core.read.ListAppender
 import io.daisybend.entry.standin.Behaviour
 import io.daisybend.entry.standin.FakeEndpoint
 import io.daisybend.entry.standin.Site
+import io.daisybend.entry.standin.linesOf
 import io.daisybend.entry.standin.withSite
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
@@ -14,7 +12,6 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
-import org.slf4j.LoggerFactory
 import kotlin.time.Duration.Companion.seconds
 
 /** Time in which the VM reads the list of endpoints again, in milliseconds. */
@@ -36,21 +33,6 @@
     arrivals(endpoint) shouldBe arrivalsBefore
 }
 
-/** Returns the log lines of [event] that [block] causes, as their fields by name. */
-private suspend fun linesOf(event: String, block: suspend () -> Unit): List<Map<String, Any?>> {
-    val logger = LoggerFactory.getLogger("daisybend") as Logger
-    val appender = ListAppender<ILoggingEvent>().apply { start() }
-    logger.addAppender(appender)
-    try {
-        block()
-    } finally {
-        logger.detachAppender(appender)
-    }
-    return appender.list.toList().filter { it.message == event }.map { line ->
-        line.keyValuePairs.associate { it.key to it.value }
-    }
-}
-
 class EndpointDepartureTest : FunSpec({
     test("an endpoint that the list shows as draining is logged as leaving once") {
         withSite {
--- a/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
@@ -1,18 +1,27 @@
 package io.daisybend.entry
 
 import io.daisybend.entry.standin.Behaviour
+import io.daisybend.entry.standin.linesOf
 import io.daisybend.entry.standin.withSite
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.collections.shouldNotBeIn
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
+import kotlin.system.measureTimeMillis
 import kotlin.time.Duration.Companion.seconds
 
 private const val LONG_TIMEOUT_MS = 15_000L
 
+/** Time in which the VM reads the list of endpoints again, in milliseconds. */
+private const val LIST_READ_MS = 2_500L
+
+/** Time in which the VM finds out that an endpoint has ended, in milliseconds. */
+private const val ENDED_CHECK_MS = 500L
+
 /** Statuses that promise that a request has not run and never will. */
 private val promises = listOf(408, 421, 429, 503)
 
@@ -33,7 +42,7 @@
             renamed.register()
             val response = caller.read()
             ran shouldHaveSize 1
-            response.status shouldNotBeIn promises
+            response.status shouldBe 200
         }
     }
 
@@ -56,6 +65,61 @@
         }
     }
 
+    test("a stream is served by the engine that was offered it, although the silent engine refuses it meanwhile") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            endpoints.forEach { it.pauseMs = 4_400 }
+            queueForAll(Behaviour.REJECT_LATE)
+            val caller = connect()
+            caller.send("POST", "/stream/x", "prompt")
+            eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
+            val other = endpoints.single { it.turnedAway.isEmpty() }
+            other.pauseMs = 1_500
+            other.behaviours.clear()
+            other.behaviours.add(Behaviour.LATE)
+            endpoints.forEach { endpoint -> repeat(MANY) { endpoint.behaviours.add(Behaviour.REJECT) } }
+            caller.read().status shouldBe 200
+            ran shouldHaveSize 1
+        }
+    }
+
+    test("the end of a silent engine is noticed while another engine holds an offer") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            endpoints.forEach { it.pauseMs = 1_500 }
+            queueForAll(Behaviour.HANG)
+            val caller = connect()
+            caller.send("POST", "/stream/x", "prompt")
+            eventually(1.seconds) { ran shouldHaveSize 1 }
+            val (silent, other) = endpoints.sortedBy { it.ran.isEmpty() }
+            other.behaviours.clear()
+            other.behaviours.add(Behaviour.LATE)
+            eventually(6.seconds) { ran shouldHaveSize 2 }
+            val ended = linesOf("engine-ended") {
+                silent.crash()
+                caller.read().status shouldBe 200
+                delay(ENDED_CHECK_MS)
+            }
+            ended.map { it["endpoint"] } shouldBe listOf(silent.id)
+        }
+    }
+
+    test("an engine that did not answer an offer in time is not sent the request again") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            endpoints.forEach { it.pauseMs = 4_400 }
+            queueForAll(Behaviour.REJECT_LATE)
+            val caller = connect()
+            caller.send("POST", "/stream/x", "prompt")
+            eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
+            val other = endpoints.single { it.turnedAway.isEmpty() }
+            other.behaviours.clear()
+            other.behaviours.add(Behaviour.HANG)
+            caller.read().status shouldNotBeIn promises
+            other.ran shouldHaveSize 1
+        }
+    }
+
     test("a failure that an endpoint does not mark as not run is never passed on as a promise") {
         withSite {
             configure()
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -14,7 +14,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
 /** How the endpoint handles one request. */
@@ -110,9 +109,6 @@
     @Volatile
     var failureStatus = 500
 
-    /** Number of refusals that were written once more. */
-    val repeatedRefusals = AtomicInteger()
-
     /** Number of open connections of the endpoint. */
     var connectionCount: () -> Int = { 0 }
 
@@ -280,9 +276,8 @@
         when (behaviour) {
             Behaviour.REPEAT_REFUSAL -> call.respond(503, headers = listOf(notExecuted, id))
             Behaviour.REPEAT_REFUSAL_UNNAMED -> call.respond(503, headers = listOf(notExecuted))
-            else -> return
+            else -> Unit
         }
-        repeatedRefusals.incrementAndGet()
     }
 
     /** Sends half of the events of a stream, or of a whole response, with [framing], and then calls [end]. */
