Answer an unmarked failure at once where no other endpoint can mend it

The request is sent elsewhere only if there is an alternative now; else the caller gets 502 at once. 408 and 429 without the header may be sent elsewhere, too. Test: "a failure that no other endpoint can mend ..." fails without it.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -355,7 +355,7 @@
         if (status >= FIRST_SERVER_ERROR) endpointPool.outcomes.recordFailure(endpoint)
         if (connection.headWritten) return SendResult(SendOutcome.Unknown, "status $status for the rest of a stream")
         val outcome = SendOutcome.AnsweredFailure(status)
-        val shouldRetry = status >= FIRST_SERVER_ERROR &&
+        val shouldRetry = (status >= FIRST_SERVER_ERROR || promisesNotRun(status)) &&
             admitted.route.mayRetry &&
             sends.attempts < admitted.route.maxAttempts &&
             remainingMs > MIN_RETRY_TIME_MS &&
@@ -366,7 +366,8 @@
         if (shouldRetry) return SendResult(outcome, "status $status")
         if (promisesNotRun(status)) {
             response.exchange.abort()
-            return SendResult(SendOutcome.Unknown, "status $status that does not say that the request has not run")
+            val reason = "status $status that does not say that the request has not run"
+            return SendResult(SendOutcome.Unknown, reason, requestOutcome = fail(reason))
         }
         return relay.relayWhole(endpoint, response, tracked).copy(outcome = outcome)
     }
--- a/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
@@ -140,6 +140,27 @@
             }
         }
     }
+
+    test("a failure that no other endpoint can mend is answered at once, also if it is not marked as not run") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            store.put("keyed.servers", "e-2", null)
+            delay(LIST_READ_MS)
+            listOf(503 to 502, 500 to 500).forEach { (status, expected) ->
+                endpoints[0].failureStatus = status
+                endpoints[0].behaviours.add(Behaviour.FAIL)
+                val tookMs = measureTimeMillis {
+                    connect().run {
+                        send("POST", "/stream/x", "prompt", model = "m1")
+                        read().status shouldBe expected
+                    }
+                }
+                tookMs shouldBeLessThan 1_000
+                // An endpoint that failed is not used for a while.
+                delay(600)
+            }
+        }
+    }
 }) {
     private companion object {
         const val MANY = 30
