Abort the connection of a call that failed

An order or an append whose call had timed out stayed with the system, which goes on sending it while a link is cut, with ever longer pauses, and delivers it many seconds after the link has healed: an order of an earlier holder between those of a later one. The connection is now reset. LostCallTest, red before: all of 400,067 bytes arrived after the call had failed, although the peer had read none of them by then.

--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -13,6 +13,9 @@
 import io.ktor.network.sockets.openReadChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.channels.SocketChannel
 import java.util.concurrent.ConcurrentHashMap
 
 /** An open connection. */
@@ -52,6 +55,16 @@
         (socket as Selectable).channel.close()
     }
 
+    /** Closes the connection so that what the peer has not received, also what the system keeps for it, is dropped. */
+    fun abort() {
+        try {
+            ((socket as Selectable).channel as? SocketChannel)?.setOption(StandardSocketOptions.SO_LINGER, 0)
+        } catch (expectedClosed: IOException) {
+            // Nothing is left to drop.
+        }
+        close()
+    }
+
     private companion object {
         const val MAX_REFUSED_IDS = 64
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -14,7 +14,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Makes HTTP calls; closes the connection of a call that fails or times out. */
+/**
+ * Makes HTTP calls. Aborts the connection of a call that fails or times out: an order or an append that the system goes
+ * on sending while a link is cut would arrive long after a later one.
+ */
 internal class PooledHttpClient(private val connectionPool: ConnectionPool) : HttpClient {
     override suspend fun call(
         address: SocketAddress,
@@ -36,12 +39,12 @@
                 exchange(connection, address, method, target, headers, body, maxResponseBytes)
             }
         } catch (cancelled: CancellationException) {
-            usedConnection?.close()
+            usedConnection?.abort()
             throw cancelled
         } catch (broken: Exception) {
             Err(HttpCallFailed(target, broken.message ?: broken.javaClass.simpleName))
         } ?: Err(HttpCallFailed(target, "no answer within $timeoutMs ms"))
-        if (response.isErr) usedConnection?.close()
+        if (response.isErr) usedConnection?.abort()
         return response
     }
 
