--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -15,8 +15,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Makes HTTP calls; closes the connection of a call that fails or times out. Each call has a connection of its own
- * unless [keepsConnections].
+ * Makes HTTP calls; each has a connection of its own unless [keepsConnections]. Aborts the connection of a call that
+ * fails or times out: an order or an append that the system goes on sending while a link is cut would arrive long after
+ * a later one.
  */
 internal class PooledHttpClient(
     private val connectionPool: ConnectionPool,
@@ -42,12 +43,12 @@
                 exchange(connection, address, method, target, headers, body, maxResponseBytes)
             }
         } catch (cancelled: CancellationException) {
-            usedConnection?.close()
+            usedConnection?.abort()
             throw cancelled
         } catch (broken: Exception) {
             Err(HttpCallFailed(target, broken.message ?: broken.javaClass.simpleName))
         } ?: Err(HttpCallFailed(target, "no answer within $timeoutMs ms"))
-        if (response.isErr) usedConnection?.close()
+        if (response.isErr) usedConnection?.abort()
         return response
     }
 
