Close a connection that opens as its request is cancelled

What callers saw: nothing; each such connection stayed open at the engine, which takes only so many, and its descriptor stayed taken for good. Cause: a cancellation or a timeout that meets the end of connect drops its result. Nothing was written on it, so "not sent" was true. Change: connect closes what it opened unless it returns it.

--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -76,18 +76,29 @@
     }
 
     /** Opens a connection to [address]; returns null if that fails or takes longer than [timeoutMs]. */
-    suspend fun connect(address: SocketAddress, timeoutMs: Long): Connection? = try {
-        withTimeoutOrNull(timeoutMs) {
-            val socket = aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
-                noDelay = true
-                keepAlive = true
-            }
-            Connection(socket, selector, address)
+    suspend fun connect(address: SocketAddress, timeoutMs: Long): Connection? {
+        // A cancellation or the timeout may drop the result of the block.
+        var opened: Connection? = null
+        var isReturned = false
+        try {
+            val connection = withTimeoutOrNull(timeoutMs) { open(address).also { opened = it } }
+            isReturned = connection != null
+            return connection
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (expectedRefusal: Exception) {
+            return null
+        } finally {
+            if (!isReturned) opened?.close()
+        }
+    }
+
+    private suspend fun open(address: SocketAddress): Connection {
+        val socket = aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
+            noDelay = true
+            keepAlive = true
         }
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (expectedRefusal: Exception) {
-        null
+        return Connection(socket, selector, address)
     }
 
     /**
