Test requests that bear one attempt id at the same time

Three callers at a time use one id while an endpoint serves, refuses, writes refusals once more and answers late: each of 600 requests gets its own body, runs once at most, and a promise means that it did not run.

--- a/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.collections.shouldNotBeIn
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.seconds
@@ -56,6 +57,28 @@
         }
     }
 
+    test("requests of two callers that bear one attempt id at the same time get their own answers") {
+        withSite {
+            configure()
+            val kinds = listOf(Behaviour.SERVE, Behaviour.REJECT, Behaviour.REPEAT_REFUSAL, Behaviour.LATE)
+            repeat(200) { round ->
+                endpoints.forEach { it.behaviours.add(kinds[round % kinds.size]) }
+                val callers = List(3) { connect() }
+                callers.forEachIndexed { index, it -> it.send("POST", "/once/x", "$round-$index", id = "same-$round") }
+                callers.forEachIndexed { index, it ->
+                    val response = it.read()
+                    val runs = ran.count { run -> run.body.decodeToString() == "$round-$index" }
+                    withClue("round $round, caller $index, status ${response.status}") {
+                        if (response.status in promises) runs shouldBe 0
+                        if (response.status == 200) response.body.substringAfter(':') shouldBe "$round-$index"
+                        runs shouldBeLessThanOrEqual 1
+                    }
+                    it.close()
+                }
+            }
+        }
+    }
+
     test("a failure that an endpoint does not mark as not run is never passed on as a promise") {
         withSite {
             configure()
