End the runs of a soak's engine that becomes another instance

An instance that has ended runs nothing, so the stand-in was wrong. The open connections stay, as before.

--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakEngine.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakEngine.kt
@@ -154,13 +154,14 @@
         timeline.note("engine $id is back")
     }
 
-    /** Goes on as the instance [nextId], which the list names [staleMs] later; open connections stay. */
+    /** Goes on as the instance [nextId], which the list names [staleMs] later; its runs end, open connections stay. */
     suspend fun changeInstance(nextId: String, staleMs: Long) {
         if (isDown || !isListed) return
         val before = id
         timeline.note("engine $before is now $nextId, listed in $staleMs ms")
         isListed = false
         id = nextId
+        endRuns()
         delay(staleMs)
         store.put("keyed.servers", before, null)
         bornMs = System.currentTimeMillis()
@@ -170,9 +171,11 @@
 
     private fun end() {
         isDown = true
-        running.forEach { it.finish(RunEnd.BROKEN_OFF, timeline.nowMs) }
+        endRuns()
     }
 
+    private fun endRuns() = running.forEach { it.finish(RunEnd.BROKEN_OFF, timeline.nowMs) }
+
     private suspend fun handle(call: FakeServerCall) {
         if (isDown) return call.closeConnection()
         refusalsToRepeat.remove(call.source)?.invoke(call)
@@ -282,8 +285,8 @@
                 call.sink.writeAll(encodeChunk(event.take(10).encodeToByteArray()))
                 return call.closeConnection()
             }
-            // The process of the engine has ended.
-            if (isDown) return call.closeConnection()
+            // The instance has ended.
+            if (isDown || run.end != RunEnd.WORKING) return call.closeConnection()
             run.onEvent(timeline.nowMs)
             call.sink.writeAll(encodeChunk(event.encodeToByteArray()))
             pause(gapMs.toLong())
