--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -107,16 +107,27 @@
         address: SocketAddress,
         timeoutMs: Long,
         maxQueuedBytes: Int = ByteSource.MAX_QUEUED_BYTES,
-    ): Connection? = try {
-        withTimeoutOrNull(timeoutMs) {
-            val socket = openSocket(selector, address)
-            val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
-            Connection(socket, selector, address, source = source)
+    ): Connection? {
+        // A cancellation or the timeout may drop the result of the block.
+        var opened: Connection? = null
+        var isReturned = false
+        try {
+            val connection = withTimeoutOrNull(timeoutMs) { open(address, maxQueuedBytes).also { opened = it } }
+            isReturned = connection != null
+            return connection
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (expectedRefusal: Exception) {
+            return null
+        } finally {
+            if (!isReturned) opened?.close()
         }
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (expectedRefusal: Exception) {
-        null
+    }
+
+    private suspend fun open(address: SocketAddress, maxQueuedBytes: Int): Connection {
+        val socket = openSocket(selector, address)
+        val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
+        return Connection(socket, selector, address, source = source)
     }
 
     /**
