Test a prompt that is quarantined while an engine has it

A written request that is taken back since its prompt was quarantined ends with 502, never with a promise; its connection is closed. Passes without a change.

--- a/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.collections.shouldNotBeIn
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.seconds
 
@@ -57,6 +58,29 @@
         }
     }
 
+    test("a prompt that is quarantined while an engine has it is not refused as not run") {
+        withSite {
+            configure(timeoutMs = LONG_TIMEOUT_MS)
+            queueForAll(Behaviour.HANG)
+            val caller = connect()
+            caller.send("POST", "/events/x", "prompt", model = "m1", prompt = "shared:10,dead:10,own:10")
+            eventually(1.seconds) { ran shouldHaveSize 1 }
+            val (silent, crashing) = endpoints.sortedBy { it.behaviours.size }
+            silent.isDraining = true
+            silent.register()
+            crashing.behaviours.clear()
+            // The list is read every 0.85 s.
+            delay(2_000)
+            val response = scope.async { caller.read() }
+            eventually(12.seconds) {
+                runCatching { connect().prompt("shared:10,dead:10,other:10") }
+                response.isCompleted shouldBe true
+            }
+            silent.abandoned shouldHaveSize 1
+            response.await().status shouldBe 502
+        }
+    }
+
     test("requests of two callers that bear one attempt id at the same time get their own answers") {
         withSite {
             configure()
