Reproduce VMs that are cut off from all endpoints

Callers of a VM that reached no endpoint were served far worse than those of others. Connections are opened by a Dialer, which a test can replace for one VM.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -16,7 +16,9 @@
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
 import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.entry.http.Dialer
 import io.daisybend.entry.http.PooledHttpClient
+import io.daisybend.entry.http.TcpDialer
 import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
@@ -93,6 +95,7 @@
     private val clocks: ClockPair = SystemClockPair,
     private val bodyMemory: BodyMemory = BodyMemory(),
     responseMemory: BodyMemory = BodyMemory(),
+    dialer: Dialer = TcpDialer,
 ) :
     Readiness {
     private val bounds = settings.bounds
@@ -102,7 +105,7 @@
     private val metrics = Metrics()
     private val load = LoadMonitor(log, metrics, ::steadyMs)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val connectionPool = ConnectionPool(selector, ::steadyMs)
+    private val connectionPool = ConnectionPool(selector, dialer, ::steadyMs)
     private val httpClient = PooledHttpClient(connectionPool)
     private val store = StoreClient(httpClient, settings.storeAddress)
     private val storeCallLog = StoreCallLog(store.calls, metrics, log)
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -7,9 +7,7 @@
 import io.daisybend.platform.SocketAddress
 import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -57,8 +55,12 @@
     }
 }
 
-/** Opens connections and keeps idle ones; [steadyMs] reads the monotonic clock. */
-internal class ConnectionPool(private val selector: SelectorManager, private val steadyMs: () -> Long) {
+/** Opens connections by [dialer] and keeps idle ones; [steadyMs] reads the monotonic clock. */
+internal class ConnectionPool(
+    private val selector: SelectorManager,
+    private val dialer: Dialer = TcpDialer,
+    private val steadyMs: () -> Long,
+) {
     private val idle = ConcurrentHashMap<SocketAddress, ArrayDeque<Connection>>()
 
     /**
@@ -78,11 +80,7 @@
     /** Opens a connection to [address]; returns null if that fails or takes longer than [timeoutMs]. */
     suspend fun connect(address: SocketAddress, timeoutMs: Long): Connection? = try {
         withTimeoutOrNull(timeoutMs) {
-            val socket = aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
-                noDelay = true
-                keepAlive = true
-            }
-            Connection(socket, selector, address)
+            Connection(dialer.dial(selector, address), selector, address)
         }
     } catch (cancelled: CancellationException) {
         throw cancelled
--- /dev/null
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/Dialer.kt
@@ -0,0 +1,25 @@
+/*
+ * Opens the sockets of outgoing connections.
+ */
+package io.daisybend.entry.http
+
+import io.daisybend.platform.SocketAddress
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+
+/** Opens sockets to addresses. */
+internal fun interface Dialer {
+    /** Returns a socket that is connected to [address]; throws an exception if that fails. */
+    suspend fun dial(selector: SelectorManager, address: SocketAddress): Socket
+}
+
+/** Connects directly. */
+internal object TcpDialer : Dialer {
+    override suspend fun dial(selector: SelectorManager, address: SocketAddress): Socket =
+        aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
+            noDelay = true
+            keepAlive = true
+        }
+}
--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakProxy.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakProxy.kt
@@ -9,6 +9,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 /** Passes the bytes of all connections to [targetPort] on the loopback address. */
@@ -33,6 +34,13 @@
     @Volatile
     var isSilent = false
 
+    /** Whether a connection is reset when the next bytes come. */
+    @Volatile
+    var resetsOnUse = false
+
+    /** Number of pieces that were passed on to the target. */
+    val piecesToTarget = AtomicInteger()
+
     init {
         thread(isDaemon = true, name = "proxy-$targetPort") { accept() }
     }
@@ -59,7 +67,7 @@
             near.tcpNoDelay = true
             far.tcpNoDelay = true
             val back = thread(isDaemon = true) { pump(far, near) }
-            pump(near, far)
+            pump(near, far, piecesToTarget)
             back.join()
         } catch (refused: IOException) {
             reset(near)
@@ -71,14 +79,16 @@
         }
     }
 
-    private fun pump(from: Socket, to: Socket) {
+    private fun pump(from: Socket, to: Socket, pieces: AtomicInteger? = null) {
         val piece = ByteArray(PIECE_BYTES)
         try {
             while (true) {
                 val count = from.getInputStream().read(piece)
                 while (isSilent) Thread.sleep(POLL_MS)
                 if (delayMs > 0) Thread.sleep(delayMs)
+                if (resetsOnUse) throw IOException("the link resets connections")
                 if (count < 0) return to.shutdownOutput()
+                pieces?.incrementAndGet()
                 to.getOutputStream().write(piece, 0, count)
             }
         } catch (broken: IOException) {
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -116,6 +116,10 @@
     /** Number of open connections of the endpoint. */
     var connectionCount: () -> Int = { 0 }
 
+    /** The port of the endpoint. */
+    @Volatile
+    var port = 0
+
     /** Closes the listening socket of the endpoint. */
     var stopListening: () -> Unit = {}
 
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -8,7 +8,9 @@
 import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.http.BodyReader
 import io.daisybend.entry.http.ByteSource
+import io.daisybend.entry.http.Dialer
 import io.daisybend.entry.http.ResponseHead
+import io.daisybend.entry.http.TcpDialer
 import io.daisybend.entry.http.encodeHead
 import io.daisybend.entry.http.parseResponseHead
 import io.daisybend.entry.http.readAll
@@ -135,6 +137,9 @@
     val peerPort = ListenerPorts.next()
     lateinit var vm: EntryVm
 
+    /** Returns what opens the connections of the VM; called once the fakes run. */
+    var dialer: () -> Dialer = { TcpDialer }
+
     /** Port of the store. */
     var storePort = 0
         private set
@@ -151,6 +156,7 @@
             val server = FakeServer(scope, endpoint::handle).start(selector)
             // A server that is down has no port to ask for.
             val port = server.port
+            endpoint.port = port
             var starts = 1
             endpoint.register = { register(endpoint, port, bornMs = starts) }
             endpoint.register()
@@ -185,13 +191,14 @@
             readVmSettings((settings.lines() + moreSettings).joinToString("\n")).getOrElse { error(it.message) },
             bodyMemory = BodyMemory(limitBytes = 10_000),
             responseMemory = BodyMemory(limitBytes = 100_000),
+            dialer = dialer(),
         )
         vm.start(scope)
         return this
     }
 
     /** Starts another VM of the site, which finds its peers by the store; returns the port for callers. */
-    suspend fun startPeer(name: String, scope: CoroutineScope = this.scope): Int {
+    suspend fun startPeer(name: String, scope: CoroutineScope = this.scope, dialer: Dialer = TcpDialer): Int {
         val peerCallerPort = ListenerPorts.next()
         val settings = """
             nodeName=$name
@@ -210,6 +217,7 @@
             readVmSettings(settings).getOrElse { error(it.message) },
             bodyMemory = BodyMemory(limitBytes = 10_000),
             responseMemory = BodyMemory(limitBytes = 100_000),
+            dialer = dialer,
         ).start(scope)
         eventually(10.seconds) { connect(peerCallerPort).call("GET", "/safe/x").status shouldBe 200 }
         return peerCallerPort
