--- a/entry/src/main/kotlin/io/daisybend/entry/http/Dialer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/Dialer.kt
@@ -5,9 +5,7 @@
 
 import io.daisybend.platform.SocketAddress
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
 
 /** Opens sockets to addresses. */
 internal fun interface Dialer {
@@ -17,9 +15,5 @@
 
 /** Connects directly. */
 internal object TcpDialer : Dialer {
-    override suspend fun dial(selector: SelectorManager, address: SocketAddress): Socket =
-        aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
-            noDelay = true
-            keepAlive = true
-        }
+    override suspend fun dial(selector: SelectorManager, address: SocketAddress): Socket = openSocket(selector, address)
 }
