Send through a peer what a VM that is cut off can't send itself

Callers of a VM that reached no endpoint met 400 ms time-outs, hangs on kept connections and refusals, since the VM took its own cut for the end of the endpoints. Connections to endpoints are now opened directly, and through a peer if the direct one does not come within 40 ms; while the path is known to be down, peers come first. A VM is cut off if it can't connect to several endpoints, a peer reaches them, and no direct connection has worked since the first failure; it tells its peers, takes back the ejections and cold marks made since then, and tries direct connections at a bounded rate until they work. Safe requests and resumable streams that have received nothing on a direct connection go on through a peer. An engine counts as ended only if peers can't reach it either, and if this VM reaches another one.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -6,6 +6,7 @@
 import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.exchange.CallerListener
 import io.daisybend.entry.exchange.CallerServer
+import io.daisybend.entry.exchange.EndpointConnections
 import io.daisybend.entry.exchange.EndpointDepartures
 import io.daisybend.entry.exchange.EndpointLoads
 import io.daisybend.entry.exchange.EndpointPool
@@ -22,6 +23,9 @@
 import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
+import io.daisybend.entry.path.EndpointConnector
+import io.daisybend.entry.path.PathMonitor
+import io.daisybend.entry.path.RelayPeers
 import io.daisybend.entry.peers.DutyReport
 import io.daisybend.entry.peers.LoadForecast
 import io.daisybend.entry.peers.PeerLink
@@ -39,6 +43,7 @@
 import io.daisybend.entry.peers.toReports
 import io.daisybend.entry.peers.toStreamReports
 import io.daisybend.entry.peers.toUses
+import io.daisybend.entry.relay.RelayClient
 import io.daisybend.entry.relay.RelayLimits
 import io.daisybend.entry.relay.RelayServer
 import io.daisybend.entry.store.ConfigurationWatcher
@@ -107,7 +112,7 @@
     private val metrics = Metrics()
     private val load = LoadMonitor(log, metrics, ::steadyMs)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val connectionPool = ConnectionPool(selector, dialer, ::steadyMs)
+    private val connectionPool = ConnectionPool(selector, dialer, { pathMonitor.onDialed(it) }, ::steadyMs)
     private val httpClient = PooledHttpClient(connectionPool)
     private val store = StoreClient(httpClient, settings.storeAddress)
     private val storeCallLog = StoreCallLog(store.calls, metrics, log)
@@ -115,6 +120,15 @@
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
     private val loadForecast = LoadForecast(isListed = { table.find(it) != null })
+    private val pathMonitor: PathMonitor =
+        PathMonitor(table, log, metrics, ::steadyMs, { endpointConnector }, ::onCutOff, ::reportSoon)
+    private val endpointConnector = EndpointConnector(
+        connectionPool,
+        RelayClient(selector, settings.vm, log, ::steadyMs),
+        RelayPeers(peers, settings.failureDomain, ::steadyMs),
+        pathMonitor,
+        ::steadyMs,
+    )
     private val teamRateLimiter = TeamRateLimiter(requestEarlyReport = ::reportSoon)
     private val teamRejections = TeamRejections(teamRateLimiter, log, metrics)
     private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
@@ -194,16 +208,24 @@
         endpointLoads,
         prefixCaches,
         departures,
+        pathMonitor,
         stopState.deadline,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
     private val engineClient = EngineClient(httpClient, departures::onResponse, endpointLoads::onEngineReport)
+    private val relayingEngineClient = EngineClient(
+        PooledHttpClient(connectionPool) { address, timeoutMs ->
+            endpointConnector.open(address, requestId = null, timeoutMs)
+        },
+        departures::onResponse,
+        endpointLoads::onEngineReport,
+    )
     private val requestHandler = RequestHandler(
-        connectionPool,
+        EndpointConnections(connectionPool, endpointConnector::open, pathMonitor.exchanges),
         endpointPool,
-        EngineEndDetector(connectionPool, quarantine, log, ::steadyMs),
-        EngineRuns(engineClient, log, ::steadyMs),
+        EngineEndDetector(endpointConnector, pathMonitor, quarantine, log, ::steadyMs),
+        EngineRuns(relayingEngineClient, log, ::steadyMs),
         teamRateLimiter,
         responseMemory,
         log,
@@ -258,7 +280,7 @@
         settings.vm,
         RelayLimits.forDescriptors(settings.maxFileDescriptors),
         mayRelayTo = { target -> table.all().any { it.entry.host == target.host && it.entry.port == target.port } },
-        mayHelp = { !stopState.isStopping },
+        mayHelp = { !stopState.isStopping && !pathMonitor.isCutOff },
         log,
         metrics,
         ::steadyMs,
@@ -341,6 +363,7 @@
         keepRunning("lease") { leaseManager.run() }
         keepRunning("orders") { orderController.run(scope) }
         keepRunning("maintenance") { runMaintenance() }
+        keepRunning("path-monitor") { pathMonitor.run() }
         keepRunning("load-monitor") { load.run() }
         keepRunning("store-call-log") { storeCallLog.run() }
         registerGauges()
@@ -481,6 +504,14 @@
         reportSoon()
     }
 
+    /** Takes back what this VM concluded of endpoints since it was cut off at [sinceMs]. */
+    private fun onCutOff(sinceMs: Long) {
+        val ejected = table.takeBackFailures(sinceMs)
+        rules.eligibility.coldEngines.takeBackConnectionsLost(sinceMs)
+        if (ejected.isNotEmpty()) log.write("ejections-taken-back", "endpoints" to ejected.map { it.incarnation.id })
+        endpointPool.onEndpointsChanged()
+    }
+
     private fun onEndpointsChanged() {
         endpointPool.onEndpointsChanged()
         orderController.reconcileSoon()
@@ -567,6 +598,7 @@
                 ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
             promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
+            cutOff = pathMonitor.isCutOff,
         )
     }
 
@@ -618,6 +650,7 @@
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
+        if (report.stopping || report.cutOff) connectionPool.closeIdleRelayedBy(report.vm)
         if (report.holdsDuty && !heldDuty) peerLink.reportDemandSoon()
         if (report.holdsDuty) orderController.onHolderReport(report.holdings, now)
         if (report.holdings.isNotEmpty()) {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -4,6 +4,8 @@
  */
 package io.daisybend.entry.exchange
 
+import io.daisybend.entry.path.PathState
+import io.daisybend.entry.path.isDown
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.platform.RequestLimit
 import io.daisybend.serving.endpoint.Endpoint
@@ -24,6 +26,7 @@
     private val pauses: EndpointPauses,
     private val eligibility: EndpointEligibility,
     private val departures: EndpointDepartures,
+    private val paths: PathState,
     private val steadyMs: () -> Long,
 ) {
     /** Records a successful response of [endpoint]. */
@@ -41,7 +44,15 @@
     }
 
     /** Records that a connection to [endpoint] was refused or broke, so that it may have restarted. */
-    fun recordConnectionLost(endpoint: Endpoint) = eligibility.coldEngines.onConnectionLost(endpoint, steadyMs())
+    fun recordConnectionLost(endpoint: Endpoint) {
+        if (!isPathDown(endpoint)) eligibility.coldEngines.onConnectionLost(endpoint, steadyMs())
+    }
+
+    /** Whether [endpoint] is up but this VM can't reach it directly, so that lost connections say nothing of it. */
+    fun isPathDown(endpoint: Endpoint): Boolean = paths.isDown(endpoint)
+
+    /** Whether this VM reaches no endpoint directly. */
+    val isCutOff: Boolean get() = paths.isCutOff
 
     /** Records that [endpoint] said that it stays cold for [leftMs] milliseconds. */
     fun recordColdLeft(endpoint: Endpoint, leftMs: Long) =
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -6,6 +6,7 @@
 
 import io.daisybend.entry.Activity
 import io.daisybend.entry.LoadMonitor
+import io.daisybend.entry.path.PathState
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.attempt.RetryBudget
 import io.daisybend.serving.attempt.RetryBudgetSettings
@@ -82,6 +83,7 @@
     val loads: EndpointLoads,
     private val prefixCaches: PrefixCaches,
     departures: EndpointDepartures,
+    paths: PathState,
     shutdown: ShutdownDeadline,
     private val listAgeMs: () -> Long,
     private val steadyMs: () -> Long,
@@ -99,7 +101,17 @@
 
     /** Outcomes of sends. */
     val outcomes =
-        EndpointOutcomes(table, quarantine, fingerprinter, rateLimiter, pauses, eligibility, departures, steadyMs)
+        EndpointOutcomes(
+            table,
+            quarantine,
+            fingerprinter,
+            rateLimiter,
+            pauses,
+            eligibility,
+            departures,
+            paths,
+            steadyMs,
+        )
 
     /** Demand of this VM for models. */
     val demand = ModelDemandTracker(steadyMs)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -15,6 +15,7 @@
 import io.daisybend.entry.http.encodeHead
 import io.daisybend.entry.http.parseResponseHead
 import io.daisybend.entry.http.readHeadLines
+import io.daisybend.entry.path.WaitingExchanges
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.Header
 import io.daisybend.platform.SendHeaders
@@ -27,6 +28,7 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 
 /** A request whose body was read completely. */
@@ -44,6 +46,8 @@
         val connectionEnded: Boolean = false,
         /** Whether this VM took the request back. */
         val withdrawn: Boolean = false,
+        /** Whether the path to the endpoint is to blame. */
+        val isPathLost: Boolean = false,
     ) : SendStart
 
     /** The response head was received; the body follows. */
@@ -63,12 +67,19 @@
     private val connection: Connection,
     private val head: ResponseHead,
     private val writeJob: Deferred<Boolean>,
+    private val onEnd: () -> Unit = {},
 ) {
     // An endpoint may answer, and reset the connection, before it has read the request; the reader may then see an
     // orderly end, which completes a response only once the whole request was sent.
-    val body = BodyReader(connection.source, head.framing, mayEndWithConnection = ::isRequestSent)
+    val body = BodyReader(connection.source, head.framing, mayEndWithConnection = ::awaitRequestSent)
     private var hasEnded = false
 
+    /** Returns whether the whole request was sent; its writer may not have run since the system took the last bytes. */
+    private suspend fun awaitRequestSent(): Boolean {
+        withTimeoutOrNull(WRITE_END_MS) { writeJob.join() }
+        return isRequestSent()
+    }
+
     @OptIn(ExperimentalCoroutinesApi::class)
     private fun isRequestSent() = writeJob.isCompleted && !writeJob.isCancelled && writeJob.getCompleted()
 
@@ -81,6 +92,7 @@
         hasEnded = true
         val isReusable = body.isComplete && isRequestSent() && head.keepAlive
         if (isReusable) connectionPool.release(connection, head.keepAliveMs) else close()
+        onEnd()
     }
 
     /** Ends the exchange by closing the connection, which makes the endpoint stop its work. */
@@ -88,21 +100,30 @@
         if (hasEnded) return
         hasEnded = true
         close()
+        onEnd()
     }
 
     private fun close() {
         writeJob.cancel()
         connection.close()
     }
+
+    private companion object {
+        /** How late the writer of a request may run after its last byte was sent, in milliseconds. */
+        const val WRITE_END_MS = 100L
+    }
 }
 
 /** Watches over a send. */
 internal interface SendGuard {
+    /** Whether the request may be sent again if nothing of its response arrives. */
+    val mayMove: Boolean
+
     /** Returns whether the request may still be sent, once there is a connection. */
     fun maySend(): Boolean
 
-    /** Called before the request is written on a connection that has completed [connectionUses] exchanges. */
-    fun onWriting(connectionUses: Int)
+    /** Called before the request is written on [connection]. */
+    fun onWriting(connection: Connection)
 
     /** Called for each head that the endpoint sends, also for interim ones and those of other requests. */
     fun onHead(headers: EndpointResponseHeaders)
@@ -116,7 +137,7 @@
  * return.
  */
 internal suspend fun startSend(
-    connectionPool: ConnectionPool,
+    connections: EndpointConnections,
     scope: CoroutineScope,
     request: BufferedRequest,
     endpoint: Endpoint,
@@ -125,27 +146,45 @@
     guard: SendGuard,
 ): SendStart {
     val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
-    val kept = connectionPool.takeIdle(address, request.attemptId)
-    val connection = kept ?: connectionPool.connect(address, connectTimeoutMs)
+    val connection = connections.open(address, request.attemptId, connectTimeoutMs)
         ?: return SendStart.NotSent("no connection to $address within $connectTimeoutMs ms")
     if (!guard.maySend()) {
         connection.close()
         return SendStart.NotSent("the endpoint wants no requests", isWithheld = true)
     }
-    guard.onWriting(connection.completedExchanges)
+    guard.onWriting(connection)
+    val waiting = connections.exchanges.begin(connection, guard.mayMove)
     val writeJob = scope.async { writeRequest(connection, request, headers) }
+    var start: SendStart? = null
     return try {
-        readResponseHead(connectionPool, connection, request, writeJob, guard)
+        readResponseHead(connection, request, writeJob, guard) { head ->
+            EndpointExchange(connections.pool, connection, head, writeJob) { connections.exchanges.end(waiting) }
+        }.also { start = it }
     } catch (cancelled: CancellationException) {
         connection.close()
         throw cancelled
     } catch (broken: IOException) {
+        if (waiting?.isMoved == true) return abandonForPeer(connection, writeJob)
         abandon(connection, writeJob, broken.message.orEmpty(), connectionEnded = true)
     } catch (malformed: MalformedMessageException) {
         abandon(connection, writeJob, "an answer that is not in the protocol: ${malformed.problem.reason}")
+    } finally {
+        if (start !is SendStart.HeadReceived) connections.exchanges.end(waiting)
     }
 }
 
+/** Connections to endpoints, which [open] returns for a request and a timeout, and the exchanges under way on them. */
+internal class EndpointConnections(
+    val pool: ConnectionPool,
+    val open: suspend (address: SocketAddress, requestId: String?, timeoutMs: Long) -> Connection?,
+    val exchanges: WaitingExchanges,
+)
+
+private fun abandonForPeer(connection: Connection, writeJob: Deferred<Boolean>): SendStart {
+    abandon(connection, writeJob, "")
+    return SendStart.NoResponse("nothing arrives, and this VM is cut off from the endpoints", isPathLost = true)
+}
+
 private fun abandon(
     connection: Connection,
     writeJob: Deferred<Boolean>,
@@ -176,11 +215,11 @@
 }
 
 private suspend fun readResponseHead(
-    pool: ConnectionPool,
     connection: Connection,
     request: BufferedRequest,
     writeJob: Deferred<Boolean>,
     guard: SendGuard,
+    exchangeOf: (ResponseHead) -> EndpointExchange,
 ): SendStart {
     // A refusal without an id may answer an earlier request of a kept connection.
     val wasKept = connection.completedExchanges > 0
@@ -194,7 +233,7 @@
         val isUnnamedRefusal = headers.attemptId == null && headers.didNotRun
         val isOwn = headers.attemptId == request.attemptId || (isUnnamedRefusal && !wasKept)
         if (isOwn && headers.didNotRun) connection.onRefused(request.attemptId)
-        if (isOwn) return SendStart.HeadReceived(head, headers, EndpointExchange(pool, connection, head, writeJob))
+        if (isOwn) return SendStart.HeadReceived(head, headers, exchangeOf(head))
         guard.onUnrelated(head.status, headers)
         if (headers.attemptId == null) return abandon(connection, writeJob, "an answer without the request's id")
         BodyReader(connection.source, head.framing).discardAll(MAX_UNRELATED_BODY_BYTES)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineEndDetector.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EngineEndDetector.kt
@@ -4,8 +4,9 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
-import io.daisybend.entry.http.ConnectionPool
-import io.daisybend.platform.SocketAddress
+import io.daisybend.entry.path.EndpointConnector
+import io.daisybend.entry.path.PathState
+import io.daisybend.entry.path.address
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.Incarnation
 import io.daisybend.serving.quarantine.CrashQuarantine
@@ -15,11 +16,13 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import java.util.concurrent.ConcurrentHashMap
 
 /** Reports engines that ended under requests to [quarantine]. */
 internal class EngineEndDetector(
-    private val connectionPool: ConnectionPool,
+    private val connector: EndpointConnector,
+    private val paths: PathState,
     private val quarantine: CrashQuarantine,
     private val log: EventLog,
     private val steadyMs: () -> Long,
@@ -48,7 +51,10 @@
         }
     }
 
-    /** Returns whether [endpoint] accepts no connections; the answers that end with it share one check. */
+    /**
+     * Returns whether [endpoint] accepts no connections of this VM and its peers; the answers that end with it share
+     * one check.
+     */
     suspend fun hasEnded(endpoint: Endpoint): Boolean {
         val check = checks.computeIfAbsent(endpoint.incarnation) { scope.async { !acceptsConnection(endpoint) } }
         return try {
@@ -58,15 +64,25 @@
         }
     }
 
+    /**
+     * A VM that reaches no other endpoint either may be cut off, and so may the peers that it has asked, so it asks
+     * again once that can be known. One that is cut off and has no peer to ask takes the endpoint for alive.
+     */
     private suspend fun acceptsConnection(endpoint: Endpoint): Boolean {
-        val address = SocketAddress(endpoint.entry.host, endpoint.entry.port)
-        val connection = connectionPool.connect(address, CONNECT_TIMEOUT_MS) ?: return false
-        connectionPool.release(connection, peerKeepAliveMs = null)
-        return true
+        if (connector.test(endpoint.address, CONNECT_TIMEOUT_MS)) return true
+        if (!paths.isCutOff) {
+            if (paths.reachesOther(endpoint.address)) return false
+            delay(CUT_DETECTION_MS)
+            if (connector.test(endpoint.address, CONNECT_TIMEOUT_MS)) return true
+        }
+        return paths.isCutOff && !paths.isDownForAll(endpoint.address)
     }
 
     private companion object {
         /** Timeout for opening a connection, in milliseconds: a few round trips. */
         const val CONNECT_TIMEOUT_MS = 250L
+
+        /** Time in which a VM finds out that it is cut off, and reports that, in milliseconds. */
+        const val CUT_DETECTION_MS = 600L
     }
 }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestHandler.kt
@@ -6,7 +6,6 @@
 
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.Metrics
-import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.peers.modelKey
 import io.daisybend.serving.rates.TeamRateLimiter
 import io.daisybend.serving.site.RouteKind
@@ -24,7 +23,7 @@
 
 /** Sends admitted requests to endpoints until one responds or the request must be refused. */
 internal class RequestHandler(
-    private val connectionPool: ConnectionPool,
+    private val connections: EndpointConnections,
     private val endpointPool: EndpointPool,
     private val endDetector: EngineEndDetector,
     private val engineRuns: EngineRuns,
@@ -53,7 +52,7 @@
             RequestSender(
                 connection,
                 admitted,
-                connectionPool,
+                connections,
                 endpointPool,
                 endDetector,
                 engineRuns,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -7,7 +7,6 @@
 
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.http.BodyFraming
-import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.platform.attemptIdHeader
 import io.daisybend.platform.promisesNotRun
 import io.daisybend.platform.retryAfterHeader
@@ -45,7 +44,7 @@
 internal class RequestSender(
     private val connection: CallerConnection,
     private val admitted: AdmittedRequest,
-    connectionPool: ConnectionPool,
+    connections: EndpointConnections,
     private val endpointPool: EndpointPool,
     private val endDetector: EngineEndDetector,
     engineRuns: EngineRuns,
@@ -53,7 +52,7 @@
     private val log: EventLog,
     private val steadyMs: () -> Long,
 ) {
-    private val sends = RequestSends(admitted, connectionPool, endpointPool, log, steadyMs)
+    private val sends = RequestSends(admitted, connections, endpointPool, log, steadyMs)
     private val recorder = SendRecorder(admitted, endpointPool.outcomes, log, steadyMs)
     private val offers =
         EngineOffers(admitted, endpointPool, endDetector, engineRuns, sends, recorder, log, steadyMs, ::offeredRequest)
@@ -97,6 +96,7 @@
             steadyMs,
         )
     private val failedEndpoints = HashSet<String>()
+    private var sendsWithoutPath = 0
 
     /** The version of the engines' software that the stream has to go on at, or null. */
     var requiredVersion: SoftwareVersion? = null
@@ -133,7 +133,11 @@
             when (decideNextStep(result, endpoint, hasEnded)) {
                 NextStep.SendElsewhere -> Unit
                 NextStep.RefuseUnrun -> return refuse(
-                    endpointPool.servedInMs(admitted, requiredVersion),
+                    if (endpointPool.outcomes.isCutOff && result.outcome is SendOutcome.NotSent) {
+                        CUT_OFF_RETRY_AFTER_MS
+                    } else {
+                        endpointPool.servedInMs(admitted, requiredVersion)
+                    },
                     "endpoints refused: ${result.reason}",
                 )
                 NextStep.FailUnknown, NextStep.PassOn -> return fail(result.reason)
@@ -201,16 +205,28 @@
         return admitted.route.mayRetry && check.await()
     }
 
+    /** Whether only the direct path to [endpoint] is to blame for [result], so that the endpoint may be used again. */
+    private fun isReachedThroughPeer(result: SendResult, endpoint: Endpoint): Boolean =
+        endpointPool.outcomes.isPathDown(endpoint) &&
+            (result.outcome !is SendOutcome.NotSent || endpointPool.outcomes.isCutOff)
+
+    /** Whether this VM is cut off and no peer could help with this send and the one before. */
+    private fun hasNoPath(result: SendResult): Boolean {
+        if (result.outcome !is SendOutcome.NotSent || result.isWithheld || !endpointPool.outcomes.isCutOff) return false
+        return ++sendsWithoutPath > 1
+    }
+
     private fun decideNextStep(result: SendResult, endpoint: Endpoint, hasEnded: Boolean): NextStep {
-        // An engine that refused the request may hold the model soon, and a paused endpoint takes requests again, so
-        // they are not excluded here; the refusal and the pause are remembered elsewhere.
+        // An engine that refused the request may hold the model soon, a paused endpoint takes requests again, and a
+        // peer reaches one to which only the path is down, so they are not excluded here.
         val mayAcceptLater = result.isWithheld ||
             endpointPool.outcomes.isPaused(endpoint) ||
+            isReachedThroughPeer(result, endpoint) ||
             (result.outcome is SendOutcome.RejectedUnrun && admitted.service.engine != null)
         if (!mayAcceptLater) failedEndpoints.add(endpoint.incarnation.id)
         val mayEndEngines = hasEnded && endpointPool.outcomes.mayEndEngines(admitted)
         val history = AttemptHistory(sends.attempts, mayHaveRun, mayEndEngines)
-        val step = nextStep(admitted.route, history, result.outcome, remainingMs) {
+        val step = nextStep(admitted.route, history, result.outcome, if (hasNoPath(result)) 0 else remainingMs) {
             endpointPool.takeRetry(admitted.service.name)
         }
         log.write(
@@ -363,6 +379,9 @@
         /** Retry-After for a stream of unknown origin, in milliseconds: peers report within this time. */
         const val UNKNOWN_ORIGIN_RETRY_AFTER_MS = 500L
 
+        /** Retry-After of a VM that is cut off while no peer can help, in milliseconds: partitions last for seconds. */
+        const val CUT_OFF_RETRY_AFTER_MS = 1_000L
+
         /** Minimum time left for a retry, in milliseconds. */
         const val MIN_RETRY_TIME_MS = 60L
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -5,7 +5,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
-import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.entry.http.Connection
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.SendHeaders
 import io.daisybend.serving.endpoint.Endpoint
@@ -37,6 +37,10 @@
     @Volatile
     var connectionUses: Int? = null
 
+    /** The VM that relays the connection, or null for a direct one. */
+    @Volatile
+    var relayedBy: String? = null
+
     /** The response, if its head was received. */
     val received: SendStart.HeadReceived? get() = start as? SendStart.HeadReceived
 
@@ -49,7 +53,7 @@
             null -> "no connection"
             0 -> "new connection"
             else -> "connection used $uses times"
-        }
+        } + relayedBy?.let { " through $it" }.orEmpty()
         val state = when (val start = start) {
             null -> if (connectionUses == null) "not written" else "written"
             is SendStart.NotSent -> "not sent"
@@ -63,7 +67,7 @@
 /** The sends of [admitted]. */
 internal class RequestSends(
     private val admitted: AdmittedRequest,
-    private val connectionPool: ConnectionPool,
+    private val connections: EndpointConnections,
     private val endpointPool: EndpointPool,
     private val log: EventLog,
     private val steadyMs: () -> Long,
@@ -108,7 +112,7 @@
         val start = unlessQuarantined {
             // A cancellation must not lose a response that has arrived: its connection would stay open.
             startSend(
-                connectionPool,
+                connections,
                 writeScope,
                 admitted.request,
                 send.endpoint,
@@ -133,8 +137,11 @@
 
         override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint, send.reservedAtMs)
 
-        override fun onWriting(connectionUses: Int) {
-            send.connectionUses = connectionUses
+        override val mayMove = admitted.route.mayRetry
+
+        override fun onWriting(connection: Connection) {
+            send.relayedBy = connection.relayedBy
+            send.connectionUses = connection.completedExchanges
         }
 
         override fun onUnrelated(status: Int, headers: EndpointResponseHeaders) = log.write(
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -137,7 +137,8 @@
         connectionEnded: Boolean,
     ): SendResult {
         response.exchange.abort()
-        if (remainingMs > 0) endpointPool.outcomes.recordFailure(endpoint)
+        val isPathDown = connectionEnded && endpointPool.outcomes.isPathDown(endpoint)
+        if (remainingMs > 0 && !isPathDown) endpointPool.outcomes.recordFailure(endpoint)
         return SendResult(SendOutcome.Unknown, reason, connectionEnded = connectionEnded)
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
@@ -20,14 +20,16 @@
 ) {
     /** Records that no byte of the request of [send] was written. */
     fun onNotSent(send: Send, start: SendStart.NotSent) {
-        if (!start.isWithheld) outcomes.recordUnreachable(send.endpoint)
+        if (!start.isWithheld && !outcomes.isPathDown(send.endpoint)) outcomes.recordUnreachable(send.endpoint)
         outcomes.recordUnsent(send.endpoint, send.reservedAtMs)
     }
 
     /** Records that [endpoint] sent no valid response. */
     fun onNoResponse(endpoint: Endpoint, start: SendStart.NoResponse) {
+        if (start.isPathLost) return
         if (start.connectionEnded) outcomes.recordConnectionLost(endpoint)
-        if (admitted.deadlineAtMs > steadyMs() && !start.withdrawn) outcomes.recordFailure(endpoint)
+        val isPathDown = start.connectionEnded && outcomes.isPathDown(endpoint)
+        if (admitted.deadlineAtMs > steadyMs() && !start.withdrawn && !isPathDown) outcomes.recordFailure(endpoint)
     }
 
     /** Records that [endpoint] refused the request as not run. */
--- a/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/BodyReader.kt
@@ -10,7 +10,7 @@
 internal class BodyReader(
     private val source: ByteSource,
     private val framing: BodyFraming,
-    private val mayEndWithConnection: () -> Boolean = { true },
+    private val mayEndWithConnection: suspend () -> Boolean = { true },
 ) {
     private var remainingBytes: Long = (framing as? BodyFraming.Length)?.bytes ?: 0L
     private var isInsideChunk = false
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -68,25 +68,32 @@
         keepAlive = true
     }
 
-/** Opens connections by [dialer] and keeps idle ones; [steadyMs] reads the monotonic clock. */
+/** Opens connections by [dialer], tells [onDialed], and keeps idle ones; [steadyMs] reads the monotonic clock. */
 internal class ConnectionPool(
     private val selector: SelectorManager,
     private val dialer: Dialer = TcpDialer,
+    private val onDialed: (Dialed) -> Unit = {},
     private val steadyMs: () -> Long,
 ) {
     private val idle = ConcurrentHashMap<SocketAddress, ArrayDeque<Connection>>()
 
     /**
-     * Returns a reusable idle connection to [address] on which [requestId] was not refused, or null if there is none. A
-     * refusal that comes once more looks like the response to the same request.
+     * Returns a reusable idle connection to [address] on which [requestId] was not refused and that [isFit] accepts, by
+     * default a direct one; null if there is none. A refusal that comes once more looks like the response to the same
+     * request.
      */
-    fun takeIdle(address: SocketAddress, requestId: String? = null): Connection? {
+    fun takeIdle(
+        address: SocketAddress,
+        requestId: String? = null,
+        isFit: (Connection) -> Boolean = { it.relayedBy == null },
+    ): Connection? {
         val connections = idle[address] ?: return null
         synchronized(connections) {
             val (open, ended) = connections.partition(::isUsable)
             ended.forEach { it.close() }
             connections.removeAll(ended)
-            return open.lastOrNull { requestId == null || !it.hasRefused(requestId) }?.also(connections::remove)
+            return open.lastOrNull { isFit(it) && (requestId == null || !it.hasRefused(requestId)) }
+                ?.also(connections::remove)
         }
     }
 
@@ -98,16 +105,24 @@
         address: SocketAddress,
         timeoutMs: Long,
         maxQueuedBytes: Int = ByteSource.MAX_QUEUED_BYTES,
-    ): Connection? = try {
-        withTimeoutOrNull(timeoutMs) {
-            val socket = dialer.dial(selector, address)
-            val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
-            Connection(socket, selector, address, source = source)
+    ): Connection? {
+        val startedAtMs = steadyMs()
+        var isRefused = false
+        val connection = try {
+            withTimeoutOrNull(timeoutMs) {
+                val socket = dialer.dial(selector, address)
+                val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
+                Connection(socket, selector, address, source = source)
+            }
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (expectedRefusal: Exception) {
+            isRefused = true
+            null
         }
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (expectedRefusal: Exception) {
-        null
+        val isTimeout = connection == null && !isRefused
+        onDialed(Dialed(address, connection != null, isTimeout, timeoutMs, steadyMs() - startedAtMs))
+        return connection
     }
 
     /**
--- a/entry/src/main/kotlin/io/daisybend/entry/http/Dialer.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/Dialer.kt
@@ -13,6 +13,15 @@
     suspend fun dial(selector: SelectorManager, address: SocketAddress): Socket
 }
 
+/** The result of an attempt to open a connection to [address]: whether it [worked], or else whether its time ended. */
+internal data class Dialed(
+    val address: SocketAddress,
+    val worked: Boolean,
+    val isTimeout: Boolean,
+    val timeoutMs: Long,
+    val tookMs: Long,
+)
+
 /** Connects directly. */
 internal object TcpDialer : Dialer {
     override suspend fun dial(selector: SelectorManager, address: SocketAddress): Socket = openSocket(selector, address)
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -14,8 +14,13 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Makes HTTP calls; closes the connection of a call that fails or times out. */
-internal class PooledHttpClient(private val connectionPool: ConnectionPool) : HttpClient {
+/** Makes HTTP calls over connections that [open] returns; closes that of a call that fails or times out. */
+internal class PooledHttpClient(
+    private val connectionPool: ConnectionPool,
+    private val open: suspend (address: SocketAddress, timeoutMs: Long) -> Connection? = { address, timeoutMs ->
+        connectionPool.takeIdle(address) ?: connectionPool.connect(address, timeoutMs)
+    },
+) : HttpClient {
     override suspend fun call(
         address: SocketAddress,
         method: String,
@@ -29,8 +34,7 @@
         val response = try {
             withTimeoutOrNull(timeoutMs) {
                 val connection =
-                    connectionPool.takeIdle(address)
-                        ?: connectionPool.connect(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
+                    open(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
                         ?: return@withTimeoutOrNull Err(HttpCallFailed(target, "no connection to $address"))
                 usedConnection = connection
                 exchange(connection, address, method, target, headers, body, maxResponseBytes)
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -214,6 +214,8 @@
     /** Only to VMs of the sender's failure domain, while the sender reads the list for them. */
     val endpointRecords: EndpointRelayReport? = null,
     val promptParts: List<PromptPartsReport> = emptyList(),
+    /** Whether the sender reaches no endpoint directly. */
+    val cutOff: Boolean = false,
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerTable.kt
@@ -87,6 +87,12 @@
         return peers.values.filter { nowMs - it.lastReportAtMs < timeoutMs }.mapNotNull { it.report }
     }
 
+    /** Returns the peers that hear this VM, and which it hears, at [nowMs]. */
+    fun reachable(nowMs: Long): List<Peer> {
+        val timeoutMs = schedule.mutualTimeoutMs(vmCount)
+        return peers.values.filter { isMutuallyReachable(it, nowMs, timeoutMs) }
+    }
+
     /** Returns the newest reports of the peers that the directory may name at [nowMs]. */
     fun directoryReports(nowMs: Long): List<PeerReport> {
         val timeoutMs = schedule.directoryTimeoutMs(vmCount)
--- a/entry/src/test/kotlin/io/daisybend/entry/CutOffVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/CutOffVmTest.kt
@@ -28,7 +28,7 @@
 class CutOffVmTest : FunSpec({
     Cut.entries.forEach { cut ->
         listOf(1, VMS / 2).forEach { cutVms ->
-            test("callers of $cutVms of $VMS VMs that are cut off from all endpoints are served as those of others: $cut") {
+            test("callers of $cutVms of $VMS VMs cut off from all endpoints are served as those of others: $cut") {
                 withFleet { fleet -> fleet.playCut(cut, cutVms) }
             }
         }
--- a/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/exchange/EarlyAnswerTest.kt
@@ -1,12 +1,15 @@
 package io.daisybend.entry.exchange
 
+import io.daisybend.entry.http.Connection
 import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.http.MalformedMessageException
 import io.daisybend.entry.http.parseRequestHead
 import io.daisybend.entry.http.parseResponseHead
 import io.daisybend.entry.http.readAll
+import io.daisybend.entry.path.WaitingExchanges
 import io.daisybend.platform.EndpointResponseHeaders
 import io.daisybend.platform.SendHeaders
+import io.daisybend.platform.SocketAddress
 import io.daisybend.serving.endpoint.EndpointEntry
 import io.daisybend.serving.endpoint.EndpointTable
 import io.daisybend.serving.endpoint.Incarnation
@@ -38,9 +41,11 @@
 private const val CONNECT_TIMEOUT_MS = 5_000L
 
 private object NoGuard : SendGuard {
+    override val mayMove = false
+
     override fun maySend() = true
 
-    override fun onWriting(connectionUses: Int) = Unit
+    override fun onWriting(connection: Connection) = Unit
 
     override fun onHead(headers: EndpointResponseHeaders) = Unit
 
@@ -76,7 +81,12 @@
         val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         server.answerAndReset()
         SelectorManager(Dispatchers.IO).use { selector ->
-            val pool = ConnectionPool(selector) { System.nanoTime() / 1_000_000 }
+            val nowMs = { System.nanoTime() / 1_000_000 }
+            val pool = ConnectionPool(selector, steadyMs = nowMs)
+            val open: suspend (SocketAddress, String?, Long) -> Connection? = { address, _, timeoutMs ->
+                pool.connect(address, timeoutMs)
+            }
+            val connections = EndpointConnections(pool, open, WaitingExchanges(nowMs))
             val head = parseRequestHead(listOf("POST /x HTTP/1.1", "Host: site"))
             val request = BufferedRequest(head, ByteArray(BODY_BYTES), "a1")
             val headers = SendHeaders(3_000, "e-1", team = null, enginePriority = null, lastEventId = null)
@@ -85,7 +95,7 @@
                     withTimeout(10.seconds) {
                         val endpoint = endpointAt(server.localPort)
                         val start =
-                            startSend(pool, scope, request, endpoint, headers, CONNECT_TIMEOUT_MS, NoGuard)
+                            startSend(connections, scope, request, endpoint, headers, CONNECT_TIMEOUT_MS, NoGuard)
                         if (start !is SendStart.HeadReceived) {
                             start.shouldBeInstanceOf<SendStart.NoResponse>()
                         } else {
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/ColdEngines.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/ColdEngines.kt
@@ -41,6 +41,9 @@
         /** When a connection to the endpoint was last refused or broke, or [NEVER]. */
         var lostAtMs = NEVER
 
+        /** The value of [lostAtMs] before the last change. */
+        var lostBeforeMs = NEVER
+
         /** Times of the newest sends, as many as the largest share. */
         val sentAtMs = ArrayDeque<Long>()
 
@@ -122,10 +125,21 @@
     public fun onConnectionLost(endpoint: Endpoint, nowMs: Long) {
         if (endpoint.entry.service !in coldStarts) return
         val wasCold = leftMs(endpoint, nowMs) > 0
-        synchronized(lock) { stateOf(endpoint, nowMs).lostAtMs = nowMs }
+        synchronized(lock) {
+            val state = stateOf(endpoint, nowMs)
+            state.lostBeforeMs = state.lostAtMs
+            state.lostAtMs = nowMs
+        }
         if (!wasCold) onCold(endpoint.incarnation, ColdCause.CONNECTION_LOST)
     }
 
+    /** Takes the lost connections since [sinceMs] back: this VM was cut off, and the endpoints have not restarted. */
+    public fun takeBackConnectionsLost(sinceMs: Long): Unit = synchronized(lock) {
+        states.values.filter { it.lostAtMs >= sinceMs }.forEach {
+            it.lostAtMs = it.lostBeforeMs.takeIf { before -> before < sinceMs } ?: NEVER
+        }
+    }
+
     private fun stateOf(endpoint: Endpoint, nowMs: Long) =
         states.getOrPut(endpoint.incarnation) { State(lastListedAtMs = nowMs) }
 
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/EndpointTable.kt
@@ -44,6 +44,7 @@
 
     internal var consecutiveFailures = 0
     internal var ejectedUntilMs = 0L
+    internal var failedAtMs = Long.MIN_VALUE
     internal var announcedUntilMs = Long.MIN_VALUE
     internal val refusedUntilMs = HashMap<String, Long>()
 
@@ -163,6 +164,7 @@
 
     /** Records a failure of [endpoint]; returns whether the failure ejects the endpoint. */
     public fun onFailure(endpoint: Endpoint, nowMs: Long): Boolean = synchronized(lock) {
+        endpoint.failedAtMs = nowMs
         endpoint.consecutiveFailures++
         val doublings = endpoint.consecutiveFailures - settings.failuresToEject
         if (doublings < 0) return false
@@ -173,11 +175,18 @@
 
     /** Records that [endpoint] is unreachable at [nowMs] or is another incarnation, and ejects it. */
     public fun onUnreachable(endpoint: Endpoint, nowMs: Long): Unit = synchronized(lock) {
+        endpoint.failedAtMs = nowMs
         endpoint.consecutiveFailures = maxOf(endpoint.consecutiveFailures + 1, settings.failuresToEject)
         val doublings = (endpoint.consecutiveFailures - settings.failuresToEject).coerceAtMost(MAX_DOUBLINGS)
         endpoint.ejectedUntilMs = nowMs + (settings.firstEjectionMs shl doublings).coerceAtMost(settings.maxEjectionMs)
     }
 
+    /** Takes the failures since [sinceMs] back, which were not those of the endpoints; returns the ejected ones. */
+    public fun takeBackFailures(sinceMs: Long): List<Endpoint> = synchronized(lock) {
+        val failed = endpoints.values.filter { it.failedAtMs >= sinceMs }
+        failed.filter { it.ejectedUntilMs > sinceMs }.also { failed.forEach(::onSuccess) }
+    }
+
     /** Records that [endpoint] refused at [nowMs] to run [model] although its holdings list the model. */
     public fun onModelRefused(endpoint: Endpoint, model: String, nowMs: Long): Unit = synchronized(lock) {
         endpoint.refusedUntilMs[model] = nowMs + settings.refusedModelMs
