--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -6,6 +6,7 @@
 import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.exchange.CallerListener
 import io.daisybend.entry.exchange.CallerServer
+import io.daisybend.entry.exchange.EndpointConnections
 import io.daisybend.entry.exchange.EndpointDepartures
 import io.daisybend.entry.exchange.EndpointLoads
 import io.daisybend.entry.exchange.EndpointPool
@@ -16,11 +17,16 @@
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
 import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.entry.http.Dialer
 import io.daisybend.entry.http.PooledHttpClient
+import io.daisybend.entry.http.TcpDialer
 import io.daisybend.entry.orders.DutyCandidates
 import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
+import io.daisybend.entry.path.EndpointConnector
+import io.daisybend.entry.path.PathMonitor
+import io.daisybend.entry.path.RelayPeers
 import io.daisybend.entry.peers.DutyReport
 import io.daisybend.entry.peers.LoadForecast
 import io.daisybend.entry.peers.PeerLink
@@ -38,6 +44,9 @@
 import io.daisybend.entry.peers.toReports
 import io.daisybend.entry.peers.toStreamReports
 import io.daisybend.entry.peers.toUses
+import io.daisybend.entry.relay.RelayClient
+import io.daisybend.entry.relay.RelayLimits
+import io.daisybend.entry.relay.RelayServer
 import io.daisybend.entry.store.ConfigurationWatcher
 import io.daisybend.entry.store.EndpointWatcher
 import io.daisybend.entry.store.ListSharing
@@ -94,6 +103,7 @@
     private val clocks: ClockPair = SystemClockPair,
     private val bodyMemory: BodyMemory = BodyMemory(),
     responseMemory: BodyMemory = BodyMemory(),
+    dialer: Dialer = TcpDialer,
 ) :
     Readiness {
     private val bounds = settings.bounds
@@ -103,7 +113,7 @@
     private val metrics = Metrics()
     private val load = LoadMonitor(log, metrics, ::steadyMs)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val connectionPool = ConnectionPool(selector, ::steadyMs)
+    private val connectionPool = ConnectionPool(selector, dialer, { pathMonitor.onDialed(it) }, ::steadyMs)
     private val httpClient = PooledHttpClient(connectionPool)
     private val store = StoreClient(httpClient, settings.storeAddress)
     private val storeCallLog = StoreCallLog(store.calls, metrics, log)
@@ -111,6 +121,15 @@
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
     private val loadForecast = LoadForecast(isListed = { table.find(it) != null })
+    private val pathMonitor: PathMonitor =
+        PathMonitor(table, log, metrics, ::steadyMs, { endpointConnector }, ::onCutOff, ::reportSoon)
+    private val endpointConnector = EndpointConnector(
+        connectionPool,
+        RelayClient(selector, settings.vm, log, ::steadyMs),
+        RelayPeers(peers, settings.failureDomain, ::steadyMs),
+        pathMonitor,
+        ::steadyMs,
+    )
     private val teamRateLimiter = TeamRateLimiter(requestEarlyReport = ::reportSoon)
     private val teamRejections = TeamRejections(teamRateLimiter, log, metrics)
     private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
@@ -190,16 +209,24 @@
         endpointLoads,
         prefixCaches,
         departures,
+        pathMonitor,
         stopState.deadline,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
     private val engineClient = EngineClient(httpClient, departures::onResponse, endpointLoads::onEngineReport)
+    private val relayingEngineClient = EngineClient(
+        PooledHttpClient(connectionPool) { address, timeoutMs ->
+            endpointConnector.open(address, requestId = null, timeoutMs)
+        },
+        departures::onResponse,
+        endpointLoads::onEngineReport,
+    )
     private val requestHandler = RequestHandler(
-        connectionPool,
+        EndpointConnections(connectionPool, endpointConnector::open, pathMonitor.exchanges),
         endpointPool,
-        EngineEndDetector(connectionPool, quarantine, log, ::steadyMs),
-        EngineRuns(engineClient, log, ::steadyMs),
+        EngineEndDetector(endpointConnector, pathMonitor, quarantine, log, ::steadyMs),
+        EngineRuns(relayingEngineClient, log, ::steadyMs),
         teamRateLimiter,
         responseMemory,
         log,
@@ -250,14 +277,29 @@
     private val peerLink: PeerLink =
         PeerLink(selector, peers, reportSchedule, log, load, ::steadyMs, ::buildReport, ::onPeerReport)
 
+    private val relayServer = RelayServer(
+        selector,
+        connectionPool,
+        settings.vm,
+        RelayLimits.forDescriptors(settings.maxFileDescriptors),
+        mayRelayTo = { target -> table.all().any { it.entry.host == target.host && it.entry.port == target.port } },
+        mayHelp = { !stopState.isStopping && !pathMonitor.isCutOff },
+        log,
+        metrics,
+        ::steadyMs,
+    )
     private val gracefulStop = GracefulStop(
         stopState,
         callers,
+        relaysUnderWay = relayServer::inProgress,
         requestHandler,
         bounds.graceMs,
         log,
         ::steadyMs,
-        onBegun = ::reportSoon,
+        onBegun = {
+            reportSoon()
+            relayServer.startDraining()
+        },
         // Another VM must wait for the handover gap before it sends orders, so this VM sends orders until it ends or
         // until its next process takes over.
         onDrained = {
@@ -309,6 +351,7 @@
             scope.launch { controlServer.accept(server, scope) }
         }
         peerLink.start(scope, settings.ip, settings.peerPort)
+        relayServer.start(scope, settings.ip, settings.peerPort)
         scope.launch {
             // Requests are admitted once a configuration is known, and by then the quarantines should be.
             quarantineKeeper.load()
@@ -323,6 +366,7 @@
         keepRunning("lease") { leaseManager.run() }
         keepRunning("orders") { orderController.run(scope) }
         keepRunning("maintenance") { runMaintenance() }
+        keepRunning("path-monitor") { pathMonitor.run() }
         keepRunning("load-monitor") { load.run() }
         keepRunning("store-call-log") { storeCallLog.run() }
         registerGauges()
@@ -463,6 +507,14 @@
         reportSoon()
     }
 
+    /** Takes back what this VM concluded of endpoints since it was cut off at [sinceMs]. */
+    private fun onCutOff(sinceMs: Long) {
+        val ejected = table.takeBackFailures(sinceMs)
+        rules.eligibility.coldEngines.takeBackConnectionsLost(sinceMs)
+        if (ejected.isNotEmpty()) log.write("ejections-taken-back", "endpoints" to ejected.map { it.incarnation.id })
+        endpointPool.onEndpointsChanged()
+    }
+
     private fun onEndpointsChanged() {
         endpointPool.onEndpointsChanged()
         orderController.reconcileSoon()
@@ -555,6 +607,7 @@
                 ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
             promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
+            cutOff = pathMonitor.isCutOff,
         )
     }
 
@@ -606,6 +659,7 @@
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
+        if (report.stopping || report.cutOff) connectionPool.closeIdleRelayedBy(report.vm)
         if (report.holdsDuty && !heldDuty) peerLink.reportDemandSoon()
         if (report.holdsDuty) orderController.onHolderReport(report.holdings, now)
         if (report.holdings.isNotEmpty()) {
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -18,21 +18,25 @@
 import java.nio.channels.SocketChannel
 import java.util.concurrent.ConcurrentHashMap
 
-/** An open connection. */
-internal class Connection(private val socket: Socket, selector: SelectorManager, val address: SocketAddress) {
-    /** Bytes received from the peer. */
-    val source = ByteSource(socket.openReadChannel())
-
+/** An open connection to [address], directly or through the VM [relayedBy]. */
+internal class Connection(
+    private val socket: Socket,
+    selector: SelectorManager,
+    val address: SocketAddress,
+    val relayedBy: String? = null,
     /** Output to the peer. */
-    val sink = SocketOutput(socket as Selectable, selector)
-
+    val sink: SocketOutput = SocketOutput(socket as Selectable, selector),
+    /** Bytes received from the peer. */
+    val source: ByteSource = ByteSource(socket.openReadChannel()),
+    private val mayGoOn: () -> Boolean = { true },
+) {
     /** Number of exchanges after which the connection was returned to the pool. */
     var completedExchanges: Int = 0
 
     private val refusedIds = ConcurrentHashMap.newKeySet<String>()
 
-    /** Whether the connection may get further requests: it remembers only so many refusals. */
-    val isReusable: Boolean get() = refusedIds.size < MAX_REFUSED_IDS
+    /** Whether the connection may get further requests: it remembers only so many refusals, and a relay may stop. */
+    val isReusable: Boolean get() = refusedIds.size < MAX_REFUSED_IDS && mayGoOn()
 
     /** Time until which the connection may be reused, in milliseconds of the monotonic clock. */
     var reusableUntilMs: Long = 0
@@ -70,37 +74,68 @@
     }
 }
 
-/** Opens connections and keeps idle ones; [steadyMs] reads the monotonic clock. */
-internal class ConnectionPool(private val selector: SelectorManager, private val steadyMs: () -> Long) {
+/** Opens a socket that is connected to [address]. */
+internal suspend fun openSocket(selector: SelectorManager, address: SocketAddress): Socket =
+    aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
+        noDelay = true
+        keepAlive = true
+    }
+
+/** Opens connections by [dialer], tells [onDialed], and keeps idle ones; [steadyMs] reads the monotonic clock. */
+internal class ConnectionPool(
+    private val selector: SelectorManager,
+    private val dialer: Dialer = TcpDialer,
+    private val onDialed: (Dialed) -> Unit = {},
+    private val steadyMs: () -> Long,
+) {
     private val idle = ConcurrentHashMap<SocketAddress, ArrayDeque<Connection>>()
 
     /**
-     * Returns a reusable idle connection to [address] on which [requestId] was not refused, or null if there is none. A
-     * refusal that comes once more looks like the response to the same request.
+     * Returns a reusable idle connection to [address] on which [requestId] was not refused and that [isFit] accepts, by
+     * default a direct one; null if there is none. A refusal that comes once more looks like the response to the same
+     * request.
      */
-    fun takeIdle(address: SocketAddress, requestId: String? = null): Connection? {
+    fun takeIdle(
+        address: SocketAddress,
+        requestId: String? = null,
+        isFit: (Connection) -> Boolean = { it.relayedBy == null },
+    ): Connection? {
         val connections = idle[address] ?: return null
         synchronized(connections) {
-            val (open, ended) = connections.partition { it.reusableUntilMs > steadyMs() && !it.source.hasPendingInput }
+            val (open, ended) = connections.partition(::isUsable)
             ended.forEach { it.close() }
             connections.removeAll(ended)
-            return open.lastOrNull { requestId == null || !it.hasRefused(requestId) }?.also(connections::remove)
+            return open.lastOrNull { isFit(it) && (requestId == null || !it.hasRefused(requestId)) }
+                ?.also(connections::remove)
         }
     }
 
-    /** Opens a connection to [address]; returns null if that fails or takes longer than [timeoutMs]. */
-    suspend fun connect(address: SocketAddress, timeoutMs: Long): Connection? = try {
-        withTimeoutOrNull(timeoutMs) {
-            val socket = aSocket(selector).tcp().connect(InetSocketAddress(address.host, address.port)) {
-                noDelay = true
-                keepAlive = true
+    /**
+     * Opens a connection to [address], which queues up to [maxQueuedBytes]; returns null if that fails or takes longer
+     * than [timeoutMs].
+     */
+    suspend fun connect(
+        address: SocketAddress,
+        timeoutMs: Long,
+        maxQueuedBytes: Int = ByteSource.MAX_QUEUED_BYTES,
+    ): Connection? {
+        val startedAtMs = steadyMs()
+        var isRefused = false
+        val connection = try {
+            withTimeoutOrNull(timeoutMs) {
+                val socket = dialer.dial(selector, address)
+                val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
+                Connection(socket, selector, address, source = source)
             }
-            Connection(socket, selector, address)
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (expectedRefusal: Exception) {
+            isRefused = true
+            null
         }
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (expectedRefusal: Exception) {
-        null
+        val isTimeout = connection == null && !isRefused
+        onDialed(Dialed(address, connection != null, isTimeout, timeoutMs, steadyMs() - startedAtMs))
+        return connection
     }
 
     /**
@@ -131,17 +166,24 @@
 
     /** Closes idle connections that may not be reused any more. */
     fun closeExpired() {
-        val now = steadyMs()
-        idle.values.forEach { connections ->
-            synchronized(connections) {
-                connections.filter { it.reusableUntilMs <= now || it.source.hasPendingInput }.forEach {
-                    connections.remove(it)
-                    it.close()
-                }
+        closeIdle { !isUsable(it) }
+    }
+
+    /** Closes the idle connections that go through [vm]. */
+    fun closeIdleRelayedBy(vm: String) = closeIdle { it.relayedBy == vm }
+
+    private fun closeIdle(mustClose: (Connection) -> Boolean) = idle.values.forEach { connections ->
+        synchronized(connections) {
+            connections.filter(mustClose).forEach {
+                connections.remove(it)
+                it.close()
             }
         }
     }
 
+    private fun isUsable(connection: Connection) =
+        connection.reusableUntilMs > steadyMs() && !connection.source.hasPendingInput && connection.isReusable
+
     private companion object {
         /**
          * How long a connection is kept if the peer states no keep-alive timeout, in milliseconds: below one second.
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -15,10 +15,15 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Makes HTTP calls. Aborts the connection of a call that fails or times out: an order or an append that the system goes
- * on sending while a link is cut would arrive long after a later one.
+ * Makes HTTP calls over connections that [open] returns. Aborts that of a call that fails or times out: an order or an
+ * append that the system goes on sending while a link is cut would arrive long after a later one.
  */
-internal class PooledHttpClient(private val connectionPool: ConnectionPool) : HttpClient {
+internal class PooledHttpClient(
+    private val connectionPool: ConnectionPool,
+    private val open: suspend (address: SocketAddress, timeoutMs: Long) -> Connection? = { address, timeoutMs ->
+        connectionPool.takeIdle(address) ?: connectionPool.connect(address, timeoutMs)
+    },
+) : HttpClient {
     override suspend fun call(
         address: SocketAddress,
         method: String,
@@ -32,8 +37,7 @@
         val response = try {
             withTimeoutOrNull(timeoutMs) {
                 val connection =
-                    connectionPool.takeIdle(address)
-                        ?: connectionPool.connect(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
+                    open(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
                         ?: return@withTimeoutOrNull Err(HttpCallFailed(target, "no connection to $address"))
                 usedConnection = connection
                 exchange(connection, address, method, target, headers, body, maxResponseBytes)
