--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -6,6 +6,7 @@
 import io.daisybend.entry.exchange.BodyMemory
 import io.daisybend.entry.exchange.CallerListener
 import io.daisybend.entry.exchange.CallerServer
+import io.daisybend.entry.exchange.EndpointConnections
 import io.daisybend.entry.exchange.EndpointDepartures
 import io.daisybend.entry.exchange.EndpointLoads
 import io.daisybend.entry.exchange.EndpointPool
@@ -15,11 +16,17 @@
 import io.daisybend.entry.exchange.RequestFingerprinter
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
+import io.daisybend.entry.http.ConnectionPool
+import io.daisybend.entry.http.Dialer
 import io.daisybend.entry.http.OutgoingConnections
+import io.daisybend.entry.http.TcpDialer
 import io.daisybend.entry.orders.DutyCandidates
 import io.daisybend.entry.orders.DutyGapMonitor
 import io.daisybend.entry.orders.LeaseManager
 import io.daisybend.entry.orders.OrderController
+import io.daisybend.entry.path.EndpointConnector
+import io.daisybend.entry.path.PathMonitor
+import io.daisybend.entry.path.RelayPeers
 import io.daisybend.entry.peers.DutyReport
 import io.daisybend.entry.peers.LoadForecast
 import io.daisybend.entry.peers.PeerLink
@@ -37,6 +44,7 @@
 import io.daisybend.entry.peers.toReports
 import io.daisybend.entry.peers.toStreamReports
 import io.daisybend.entry.peers.toUses
+import io.daisybend.entry.relay.RelayClient
 import io.daisybend.entry.relay.RelayLimits
 import io.daisybend.entry.relay.RelayServer
 import io.daisybend.entry.store.ConfigurationWatcher
@@ -95,6 +103,7 @@
     private val clocks: ClockPair = SystemClockPair,
     private val bodyMemory: BodyMemory = BodyMemory(),
     responseMemory: BodyMemory = BodyMemory(),
+    dialer: Dialer = TcpDialer,
 ) :
     Readiness {
     private val bounds = settings.bounds
@@ -104,13 +113,18 @@
     private val metrics = Metrics()
     private val load = LoadMonitor(log, metrics, ::steadyMs)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val connections = OutgoingConnections(selector, ::steadyMs)
+    private val connections = OutgoingConnections(selector, dialer, { pathMonitor.onDialed(it) }, ::steadyMs)
     private val store = StoreClient(connections.calls, settings.storeAddress)
     private val storeCallLog = StoreCallLog(store.calls, metrics, log)
     private val table = EndpointTable()
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
     private val loadForecast = LoadForecast(isListed = { table.find(it) != null })
+    private val pathMonitor: PathMonitor =
+        PathMonitor(table, log, metrics, ::steadyMs, { endpointConnector }, ::onCutOff, ::reportSoon)
+    private val relayClient = RelayClient(selector, settings.vm, log, ::steadyMs)
+    private val relayPeers = RelayPeers(peers, settings.failureDomain, ::steadyMs)
+    private val endpointConnector = connectorOf(connections.requests)
     private val teamRateLimiter = TeamRateLimiter(requestEarlyReport = ::reportSoon)
     private val teamRejections = TeamRejections(teamRateLimiter, log, metrics)
     private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
@@ -190,17 +204,24 @@
         endpointLoads,
         prefixCaches,
         departures,
+        pathMonitor,
         stopState.deadline,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
     private val engineClient =
         EngineClient(connections.calls, connections.orders, departures::onResponse, endpointLoads::onEngineReport)
+    private val relayingEngineClient = EngineClient(
+        connections.callsOver(connectorOf(connections.ofCalls)),
+        connections.orders,
+        departures::onResponse,
+        endpointLoads::onEngineReport,
+    )
     private val requestHandler = RequestHandler(
-        connections.requests,
+        EndpointConnections(connections.requests, endpointConnector::open, pathMonitor.exchanges),
         endpointPool,
-        EngineEndDetector(connections.requests, quarantine, log, ::steadyMs),
-        EngineRuns(engineClient, log, ::steadyMs),
+        EngineEndDetector(endpointConnector, pathMonitor, quarantine, log, ::steadyMs),
+        EngineRuns(relayingEngineClient, log, ::steadyMs),
         teamRateLimiter,
         responseMemory,
         log,
@@ -257,7 +278,7 @@
         settings.vm,
         RelayLimits.forDescriptors(settings.maxFileDescriptors),
         mayRelayTo = { target -> table.all().any { it.entry.host == target.host && it.entry.port == target.port } },
-        mayHelp = { !stopState.isStopping },
+        mayHelp = { !stopState.isStopping && !pathMonitor.isCutOff },
         log,
         metrics,
         ::steadyMs,
@@ -300,6 +321,9 @@
     private lateinit var scope: CoroutineScope
     private var callerListener: CallerListener? = null
 
+    private fun connectorOf(pool: ConnectionPool) =
+        EndpointConnector(pool, relayClient, relayPeers, pathMonitor, ::steadyMs)
+
     private fun reportSoon() = peerLink.reportSoon()
 
     private fun steadyMs(): Long = clocks.read().steadyMs
@@ -340,6 +364,7 @@
         keepRunning("lease") { leaseManager.run() }
         keepRunning("orders") { orderController.run(scope) }
         keepRunning("maintenance") { runMaintenance() }
+        keepRunning("path-monitor") { pathMonitor.run() }
         keepRunning("load-monitor") { load.run() }
         keepRunning("store-call-log") { storeCallLog.run() }
         registerGauges()
@@ -480,6 +505,14 @@
         reportSoon()
     }
 
+    /** Takes back what this VM concluded of endpoints since it was cut off at [sinceMs]. */
+    private fun onCutOff(sinceMs: Long) {
+        val ejected = table.takeBackFailures(sinceMs)
+        rules.eligibility.coldEngines.takeBackConnectionsLost(sinceMs)
+        if (ejected.isNotEmpty()) log.write("ejections-taken-back", "endpoints" to ejected.map { it.incarnation.id })
+        endpointPool.onEndpointsChanged()
+    }
+
     private fun onEndpointsChanged() {
         endpointPool.onEndpointsChanged()
         orderController.reconcileSoon()
@@ -572,6 +605,7 @@
                 ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
             promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
+            cutOff = pathMonitor.isCutOff,
         )
     }
 
@@ -623,6 +657,7 @@
         streamOrigins.onPeerOrigins(report.streams.toOrigins(), now)
         report.duty?.let(leaseManager::onReport)
         report.renewal?.let(::renewForPeer)
+        if (report.stopping || report.cutOff) connections.closeIdleRelayedBy(report.vm)
         if (report.holdsDuty && !heldDuty) peerLink.reportDemandSoon()
         if (report.holdsDuty) orderController.onHolderReport(report.holdings, now)
         if (report.holdings.isNotEmpty()) {
--- a/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/ConnectionPool.kt
@@ -81,21 +81,32 @@
         keepAlive = true
     }
 
-/** Opens connections and keeps idle ones; [steadyMs] reads the monotonic clock. */
-internal class ConnectionPool(private val selector: SelectorManager, private val steadyMs: () -> Long) {
+/** Opens connections by [dialer], tells [onDialed], and keeps idle ones; [steadyMs] reads the monotonic clock. */
+internal class ConnectionPool(
+    private val selector: SelectorManager,
+    private val dialer: Dialer = TcpDialer,
+    private val onDialed: (Dialed) -> Unit = {},
+    private val steadyMs: () -> Long,
+) {
     private val idle = ConcurrentHashMap<SocketAddress, ArrayDeque<Connection>>()
 
     /**
-     * Returns a reusable idle connection to [address] on which [requestId] was not refused, or null if there is none. A
-     * refusal that comes once more looks like the response to the same request.
+     * Returns a reusable idle connection to [address] on which [requestId] was not refused and that [isFit] accepts, by
+     * default a direct one; null if there is none. A refusal that comes once more looks like the response to the same
+     * request.
      */
-    fun takeIdle(address: SocketAddress, requestId: String? = null): Connection? {
+    fun takeIdle(
+        address: SocketAddress,
+        requestId: String? = null,
+        isFit: (Connection) -> Boolean = { it.relayedBy == null },
+    ): Connection? {
         val connections = idle[address] ?: return null
         synchronized(connections) {
             val (open, ended) = connections.partition(::isUsable)
             ended.forEach { it.close() }
             connections.removeAll(ended)
-            return open.lastOrNull { requestId == null || !it.hasRefused(requestId) }?.also(connections::remove)
+            return open.lastOrNull { isFit(it) && (requestId == null || !it.hasRefused(requestId)) }
+                ?.also(connections::remove)
         }
     }
 
@@ -108,16 +119,19 @@
         timeoutMs: Long,
         maxQueuedBytes: Int = ByteSource.MAX_QUEUED_BYTES,
     ): Connection? {
+        val startedAtMs = steadyMs()
         // A cancellation or the timeout may drop the result of the block.
         var opened: Connection? = null
         var isReturned = false
         try {
             val connection = withTimeoutOrNull(timeoutMs) { open(address, maxQueuedBytes).also { opened = it } }
+            onDialed(Dialed(address, connection != null, connection == null, timeoutMs, steadyMs() - startedAtMs))
             isReturned = connection != null
             return connection
         } catch (cancelled: CancellationException) {
             throw cancelled
         } catch (expectedRefusal: Exception) {
+            onDialed(Dialed(address, worked = false, isTimeout = false, timeoutMs, steadyMs() - startedAtMs))
             return null
         } finally {
             if (!isReturned) opened?.close()
@@ -125,7 +139,7 @@
     }
 
     private suspend fun open(address: SocketAddress, maxQueuedBytes: Int): Connection {
-        val socket = openSocket(selector, address)
+        val socket = dialer.dial(selector, address)
         val source = ByteSource(ChannelInput(socket.openReadChannel()), maxQueuedBytes)
         return Connection(socket, selector, address, source = source)
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -15,13 +15,16 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Makes HTTP calls; each has a connection of its own unless [keepsConnections]. Aborts the connection of a call that
- * fails or times out: an order or an append that the system goes on sending while a link is cut would arrive long after
- * a later one.
+ * Makes HTTP calls over connections that [open] returns; each has one of its own unless [keepsConnections]. Aborts the
+ * connection of a call that fails or times out: an order or an append that the system goes on sending while a link is cut
+ * would arrive long after a later one.
  */
 internal class PooledHttpClient(
     private val connectionPool: ConnectionPool,
     private val keepsConnections: Boolean = true,
+    private val open: suspend (address: SocketAddress, timeoutMs: Long) -> Connection? = { address, timeoutMs ->
+        (if (keepsConnections) connectionPool.takeIdle(address) else null) ?: connectionPool.connect(address, timeoutMs)
+    },
 ) : HttpClient {
     override suspend fun call(
         address: SocketAddress,
@@ -36,8 +39,7 @@
         val response = try {
             withTimeoutOrNull(timeoutMs) {
                 val connection =
-                    (if (keepsConnections) connectionPool.takeIdle(address) else null)
-                        ?: connectionPool.connect(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
+                    open(address, timeoutMs.coerceAtMost(CONNECT_TIMEOUT_MS))
                         ?: return@withTimeoutOrNull Err(HttpCallFailed(target, "no connection to $address"))
                 usedConnection = connection
                 exchange(connection, address, method, target, headers, body, maxResponseBytes)
--- a/entry/src/test/kotlin/io/daisybend/entry/relay/RelayRig.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/relay/RelayRig.kt
@@ -28,8 +28,8 @@
     val target = SocketAddress("127.0.0.1", endpoint.localPort)
     val listed = hashSetOf(target)
     var mayHelp = true
-    val pool = ConnectionPool(selector, ::nowMs)
-    private val peerPool = ConnectionPool(selector, ::nowMs)
+    val pool = ConnectionPool(selector, steadyMs = ::nowMs)
+    private val peerPool = ConnectionPool(selector, steadyMs = ::nowMs)
     val metrics = Metrics()
     val server =
         RelayServer(selector, peerPool, "vm-2", limits, { it in listed }, { mayHelp }, log, metrics, ::nowMs)
