--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -17,6 +17,7 @@
 import io.daisybend.entry.http.readHeadLines
 import io.daisybend.entry.http.writeAll
 import io.daisybend.platform.Header
+import io.daisybend.platform.SocketAddress
 import io.daisybend.platform.readVmSettings
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.matchers.shouldBe
@@ -140,6 +141,9 @@
     /** Returns what opens the connections of the VM; called once the fakes run. */
     var dialer: () -> Dialer = { TcpDialer }
 
+    /** Address of the last endpoint. */
+    lateinit var endpointAddress: SocketAddress
+
     /** Port of the store. */
     var storePort = 0
         private set
@@ -157,6 +161,7 @@
             // A server that is down has no port to ask for.
             val port = server.port
             endpoint.port = port
+            endpointAddress = SocketAddress("127.0.0.1", port)
             var starts = 1
             endpoint.register = { register(endpoint, port, bornMs = starts) }
             endpoint.register()
