--- a/entry/src/main/kotlin/io/daisybend/entry/path/EndpointConnector.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/EndpointConnector.kt
@@ -94,7 +94,7 @@
         }
     }
 
-    /** Asks a peer for [address] once no other attempt does, or the path is known to be down, unless [direct] connects. */
+    /** Asks a peer for [address] once no other attempt does or the path is down, unless [direct] connects. */
     private suspend fun connectThroughPeerInTurn(
         address: SocketAddress,
         endsAtMs: Long,
