--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -182,6 +182,10 @@
     @Volatile
     var eventsMade = BREAK_AT_EVENT - 1
 
+    /** What the endpoint takes while it is brittle and says so, or null. */
+    @Volatile
+    var brittle: BrittleCapacity? = null
+
     /** Attempt ids of the requests that the endpoint works on. */
     private val running = ConcurrentHashMap.newKeySet<String>()
 
@@ -202,8 +206,11 @@
 
     suspend fun handle(call: FakeServerCall) {
         if (call.header("X-Daisybend-Expect-Instance") != (successorId ?: id)) return call.respond(421)
-        if (call.head.path == "/daisybend/report") return call.respond(200, report().encodeToByteArray())
+        if (call.head.path == "/daisybend/report") {
+            return call.respond(200, report().encodeToByteArray(), listOfNotNull(brittleHeader()))
+        }
         if (call.head.path == "/daisybend/order") return call.respond(409)
+        brittle?.let { return serveBrittle(call, it) }
         val behaviour = behaviours.poll() ?: Behaviour.SERVE
         if (behaviour in refusals) return refuse(call, behaviour)
         refusedIds[call.source]?.let { repeatRefusal(call, behaviour, it) }
@@ -221,6 +228,14 @@
         }
     }
 
+    private fun brittleHeader() = brittle?.let { Header("Server-Brittle", it.limit.toString()) }
+
+    private suspend fun serveBrittle(call: FakeServerCall, capacity: BrittleCapacity) {
+        if (!capacity.enter(crash)) return call.respond(503, headers = ownHeaders(call) + notExecuted)
+        ran.add(call)
+        capacity.run { serve(call, Behaviour.SERVE) }
+    }
+
     private suspend fun refuse(call: FakeServerCall, behaviour: Behaviour) {
         turnedAway.add(call)
         refusedIds[call.source] = call.header("X-Daisybend-Attempt-Id")!!
@@ -360,6 +375,7 @@
         Header("X-Daisybend-Response-Seal", "seal"),
         namedLimit?.let { Header("Server-Limit", it) },
         leaving.takeIf { isLeaving },
+        brittleHeader(),
         Header("Connection", "close").takeIf { !keepsConnections },
     )
 
