Keep brittle engines from being made to fall over

Cause: Server-Brittle was read nowhere; each VM filled the endpoints alone and sent what one turned away to the others. Change: the header is decoded once, one answer makes the whole service brittle, and peers learn of it by reports. Each VM has a share of an endpoint's slots and of what that may turn away, by rendezvous hashing of the list of VMs, and keeps to both on all ways to an endpoint. A VM in touch with all others may also use slots that no active VM has. A refusal lowers its share for 1.1 s. After a change of the list of VMs the smaller share holds for 4 s. Requests wait for their turn or are refused with the time to it, urgent ones first. The end of an endpoint that has just turned requests away is no evidence against the request that ran there.

--- a/entry/src/main/kotlin/io/daisybend/entry/EndpointRules.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EndpointRules.kt
@@ -8,6 +8,8 @@
 import io.daisybend.entry.store.EvacuationRecords
 import io.daisybend.platform.PlatformBounds
 import io.daisybend.platform.VmSettings
+import io.daisybend.serving.endpoint.BrittleEngines
+import io.daisybend.serving.endpoint.BrittleFleet
 import io.daisybend.serving.endpoint.ColdEngines
 import io.daisybend.serving.endpoint.EndpointEligibility
 import io.daisybend.serving.endpoint.EndpointEntry
@@ -25,8 +27,10 @@
     private val peers: PeerTable,
     private val log: EventLog,
     private val metrics: Metrics,
+    peersInFlight: (endpoint: String) -> Int,
     private val steadyMs: () -> Long,
     onChange: () -> Unit,
+    requestEarlyReport: () -> Unit,
 ) {
     private val unreadableColdValues = AtomicLong()
     private val knownVms = KnownVms(settings.vm)
@@ -39,6 +43,17 @@
         )
     }
 
+    /** The brittle engines and the share of this VM in their room. */
+    val brittleEngines = BrittleEngines(settings.vm, table::ofService, peersInFlight) { service, limit ->
+        if (limit == null) {
+            log.write("service-brittle-ended", "service" to service)
+        } else {
+            log.write("service-brittle", "service" to service, "turnedAwayPerS" to limit)
+            requestEarlyReport()
+        }
+        onChange()
+    }
+
     /** The evacuations; the configuration watcher feeds them. */
     val evacuationRecords = EvacuationRecords(log, steadyMs, ::onEvacuationEnded, onChange)
 
@@ -46,7 +61,7 @@
     val homeRegions = HomeRegions(settings.failureDomain, settings.region, settings.regionOfDomain)
 
     /** Which endpoints may get requests. */
-    val eligibility = EndpointEligibility(coldEngines, homeRegions) { evacuationRecords.current }
+    val eligibility = EndpointEligibility(coldEngines, brittleEngines, homeRegions) { evacuationRecords.current }
 
     private fun onEvacuationEnded(failureDomain: String) =
         coldEngines.onEvacuationEnded(table.all().filter { it.entry.failureDomain == failureDomain }, steadyMs())
@@ -73,7 +88,14 @@
     /** Applies what has changed without an event; called at a short interval. */
     fun maintain() {
         val now = steadyMs()
-        if (coldEngines.isInUse) coldEngines.setVms(knownVms.current(peers.all.map { it.vm }, now))
+        val reporting = peers.all.map { it.vm }
+        val settled = knownVms.current(reporting, now)
+        if (coldEngines.isInUse) coldEngines.setVms(settled)
+        val isInTouch = peers.contact(now).unreachableShare == 0.0
+        val fleet = knownVms.named(reporting)
+            ?.let { BrittleFleet(it, settled != null, isInTouch, peers.reportIntervalMs) }
+        brittleEngines.setFleet(fleet, now)
+        brittleEngines.removeExpired(now)
         coldEngines.removeForgotten(table.all().mapTo(HashSet()) { it.incarnation }, now)
     }
 
@@ -86,6 +108,16 @@
             coldEngines.current(table.all(), steadyMs()).entries
                 .associate { (endpoint, leftMs) -> endpoint.id to leftMs / MILLIS_PER_SECOND }
         }
+        metrics.addGauges(
+            "daisybend_service_brittle",
+            "What each endpoint of a brittle service may turn away in a second",
+            "service",
+        ) { brittleEngines.limits.mapValues { it.value.toDouble() } }
+        metrics.addCounters(
+            "daisybend_brittle_requests_total",
+            "Requests that brittle endpoints turned away, and requests held back for want of room there",
+            "event",
+        ) { brittleEngines.eventCounts }
         metrics.addCounters("daisybend_unreadable_cold_values", "Remaining cold times that are unreadable", "source") {
             mapOf("list" to unreadableColdValues.get().toDouble())
         }
--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -4,6 +4,7 @@
 package io.daisybend.entry
 
 import io.daisybend.entry.exchange.BodyMemory
+import io.daisybend.entry.exchange.BrittleNotices
 import io.daisybend.entry.exchange.CallerListener
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.EndpointDepartures
@@ -29,6 +30,8 @@
 import io.daisybend.entry.peers.ReportPurpose
 import io.daisybend.entry.peers.ReportSchedule
 import io.daisybend.entry.peers.TeamUseReport
+import io.daisybend.entry.peers.toBrittleReports
+import io.daisybend.entry.peers.toBrittleServices
 import io.daisybend.entry.peers.toEvidence
 import io.daisybend.entry.peers.toHoldings
 import io.daisybend.entry.peers.toLeavingReports
@@ -132,7 +135,19 @@
             val share = peers.contact(steadyMs()).unreachableShare
             storePolling.evidenceIntervalMs(peers.vmCount, share).takeIf { share > 0.0 }
         }
-    private val rules = EndpointRules(settings, table, peers, log, metrics, ::steadyMs, ::onEndpointsChanged)
+    private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
+    private val rules: EndpointRules = EndpointRules(
+        settings,
+        table,
+        peers,
+        log,
+        metrics,
+        endpointLoads::peersInFlight,
+        ::steadyMs,
+        ::onEndpointsChanged,
+        ::reportSoon,
+    )
+    private val brittleNotices = BrittleNotices(table, rules.brittleEngines, log, ::steadyMs)
     private val configuration: ConfigurationWatcher = ConfigurationWatcher(
         store,
         clocks,
@@ -172,7 +187,6 @@
     private val departures =
         EndpointDepartures(table, connectionPool, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val stopState = StopState()
-    private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
     private val prefixCaches = PrefixCaches(table, ::kvCapacityOf, log, ::steadyMs)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
@@ -189,11 +203,17 @@
         endpointLoads,
         prefixCaches,
         departures,
+        brittleNotices,
         stopState.deadline,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
-    private val engineClient = EngineClient(httpClient, departures::onResponse, endpointLoads::onEngineReport)
+    private val engineClient = EngineClient(
+        httpClient,
+        departures::onResponse,
+        endpointLoads::onEngineReport,
+        brittleNotices::onEngineAnswer,
+    )
     private val requestHandler = RequestHandler(
         connectionPool,
         endpointPool,
@@ -546,6 +566,7 @@
                 ReportPurpose.DEMAND, ReportPurpose.RELAY -> emptyList()
             }.toLeavingReports(),
             promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
+            brittle = rules.brittleEngines.reports(now.steadyMs).toBrittleReports(),
         )
     }
 
@@ -588,6 +609,7 @@
             report.uptimeMs,
         )
         endpointLoads.onPeerReport(report)
+        rules.brittleEngines.onPeerReport(report.vm, report.brittle.toBrittleServices(), now)
         prefixCaches.onPeerReport(report.promptParts)
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointLoads.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointLoads.kt
@@ -48,6 +48,9 @@
             "unreadable" to unreadableSamples.sum().toDouble(),
         )
 
+    /** Returns the requests of the peers in flight at the endpoint called [id], as they reported. */
+    fun peersInFlight(id: String): Int = peerUses.useOf(id).inFlight
+
     /** Returns the load that all VMs count at [endpoint]. */
     fun countedAt(endpoint: Endpoint): EndpointLoad {
         val peers = peerUses.useOf(endpoint.incarnation.id)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -5,6 +5,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.peers.modelKey
+import io.daisybend.platform.Brittle
 import io.daisybend.platform.RequestLimit
 import io.daisybend.serving.endpoint.Endpoint
 import io.daisybend.serving.endpoint.EndpointEligibility
@@ -24,6 +25,7 @@
     private val pauses: EndpointPauses,
     private val eligibility: EndpointEligibility,
     private val departures: EndpointDepartures,
+    private val brittleNotices: BrittleNotices,
     private val steadyMs: () -> Long,
 ) {
     /** Records a successful response of [endpoint]. */
@@ -47,6 +49,35 @@
     fun recordColdLeft(endpoint: Endpoint, leftMs: Long) =
         eligibility.coldEngines.onNamed(endpoint, leftMs, steadyMs())
 
+    /** Records what an answer of [endpoint] said of its being brittle. */
+    fun recordBrittle(endpoint: Endpoint, brittle: Brittle?) =
+        brittleNotices.onAnswer(endpoint, brittle)
+
+    /** Records that the request that was reserved for [endpoint] at [reservedAtMs] counts as in flight. */
+    fun recordBegun(endpoint: Endpoint, reservedAtMs: Long) =
+        eligibility.brittleEngines.onBegun(endpoint, reservedAtMs)
+
+    /** Records that the request that was written to [endpoint] at [writtenAtMs] was turned away or answered. */
+    fun recordAnswered(endpoint: Endpoint, writtenAtMs: Long, isTurnedAway: Boolean) {
+        if (isTurnedAway) {
+            eligibility.brittleEngines.onTurnedAway(endpoint, writtenAtMs, steadyMs())
+        } else {
+            eligibility.brittleEngines.onAnswered(endpoint, writtenAtMs)
+        }
+    }
+
+    /** Records the end of an exchange with [endpoint]; returns whether requests may wait for its place. */
+    fun recordEnded(endpoint: Endpoint, isAborted: Boolean): Boolean {
+        eligibility.brittleEngines.onEnded(endpoint, isAborted, steadyMs())
+        return isBrittle(endpoint)
+    }
+
+    /** Returns whether the endpoints of the service of [endpoint] are brittle. */
+    fun isBrittle(endpoint: Endpoint): Boolean = eligibility.brittleEngines.isBrittle(endpoint.entry.service)
+
+    /** Returns whether [endpoint] may have ended because it turned requests away. */
+    fun mayHaveFallen(endpoint: Endpoint): Boolean = eligibility.brittleEngines.mayHaveFallen(endpoint, steadyMs())
+
     /** Records that [endpoint] refused the model of [admitted]. */
     fun recordRejection(endpoint: Endpoint, admitted: AdmittedRequest) {
         admitted.caller.demand?.let { table.onModelRefused(endpoint, modelKey(it.model, it.adapter), steadyMs()) }
@@ -66,12 +97,12 @@
     /** Returns whether [endpoint] wants no request of this VM now. */
     fun isPaused(endpoint: Endpoint): Boolean = pauses.leftMs(endpoint.incarnation, steadyMs()) > 0
 
-    /** Returns whether a request that was reserved for [endpoint] at [reservedAtMs] may still be sent to it. */
-    fun mayStillSend(endpoint: Endpoint, reservedAtMs: Long): Boolean =
+    /** Returns whether a request that was reserved for [endpoint] at [reservedAtMs] may be written at [now]. */
+    fun mayStillSend(endpoint: Endpoint, reservedAtMs: Long, now: Long): Boolean =
         !endpoint.entry.isDraining &&
             endpoint.incarnation !in table.leaving &&
             !isPaused(endpoint) &&
-            eligibility.maySend(endpoint, reservedAtMs, steadyMs())
+            eligibility.maySend(endpoint, reservedAtMs, now)
 
     /** Records that [endpoint] said that it is leaving. */
     fun recordLeaving(endpoint: Endpoint) = departures.onResponse(endpoint.incarnation)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointPool.kt
@@ -82,6 +82,7 @@
     val loads: EndpointLoads,
     private val prefixCaches: PrefixCaches,
     departures: EndpointDepartures,
+    brittleNotices: BrittleNotices,
     shutdown: ShutdownDeadline,
     private val listAgeMs: () -> Long,
     private val steadyMs: () -> Long,
@@ -98,8 +99,17 @@
     private val sendDeadlines = SendDeadlines(shutdown, exchanges, steadyMs)
 
     /** Outcomes of sends. */
-    val outcomes =
-        EndpointOutcomes(table, quarantine, fingerprinter, rateLimiter, pauses, eligibility, departures, steadyMs)
+    val outcomes = EndpointOutcomes(
+        table,
+        quarantine,
+        fingerprinter,
+        rateLimiter,
+        pauses,
+        eligibility,
+        departures,
+        brittleNotices,
+        steadyMs,
+    )
 
     /** Demand of this VM for models. */
     val demand = ModelDemandTracker(steadyMs)
@@ -132,7 +142,10 @@
      */
     suspend fun select(admitted: AdmittedRequest, candidates: EndpointCandidates): EndpointSelection {
         val waitStartedAtMs = steadyMs()
-        val first = nextStep(admitted, candidates, waitStartedAtMs, queue = demand.waitingCount(admitted))
+        val isBrittle = turns.isBrittle(admitted.service.name)
+        val queue = if (isBrittle) demand.waitingAhead(admitted) else demand.waitingCount(admitted)
+        val first = nextStep(admitted, candidates, waitStartedAtMs, queue)
+        turns.countHeldBack(admitted, isSent = (first as? Step.Finish)?.selection is EndpointSelection.Selected)
         if (first is Step.Finish) return first.selection
         val waiting = demand.startWaiting(admitted)
         fleet.onDemandChanged()
@@ -183,8 +196,12 @@
         }
     }
 
-    /** Takes a turn at [endpoint] and the trial if [admitted] is one; null if another request has taken them. */
+    /**
+     * Takes a turn at [endpoint] and the trial if [admitted] is one; null if another request has taken them, or
+     * if the endpoint is brittle and a more urgent request waits for a place.
+     */
     private fun reserve(endpoint: Endpoint, admitted: AdmittedRequest): EndpointSelection.Selected? {
+        if (turns.isBrittle(admitted.service.name) && demand.isMoreUrgentWaiting(admitted)) return null
         val selected = turns.take(endpoint) ?: return null
         if (quarantine.onSent(outcomes.suspectParts(admitted), steadyMs())) return selected
         outcomes.recordUnsent(endpoint, selected.reservedAtMs)
@@ -266,12 +283,13 @@
                 (model == null || !table.hasRefusedModel(it, model, now))
         }
         if (endpoints.isEmpty() && all.isNotEmpty() && model != null) return EndpointChoice.NotHeld
-        val (paused, open) = endpoints.partition { turns.waitMs(it, now) > 0 }
+        val fitting = turns.withFittingMemory(endpoints, admitted, kvTotalOf = { loads.loadOf(it, now).kvTotalTokens })
+        val (paused, open) = fitting.partition { turns.waitMs(it, now) > 0 }
         val choice = turns.chooseWarmFirst(open, now) { chooseWithinLimits(it, admitted, now) }
         if (choice is EndpointChoice.Send || choice is EndpointChoice.Limited) return choice
         val needed = admitted.caller.demand.takeIf { admitted.service.engine != null }
         val leftMs = paused.filter { it.canServe(needed, now) }.minOfOrNull { turns.waitMs(it, now) }
-        return leftMs?.let { EndpointChoice.Paused(it) } ?: choice
+        return leftMs?.let { turns.waitFor(admitted.service.name, it, now) } ?: choice
     }
 
     private fun chooseWithinLimits(endpoints: List<Endpoint>, admitted: AdmittedRequest, now: Long): EndpointChoice {
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointTurns.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointTurns.kt
@@ -26,10 +26,38 @@
         return null
     }
 
-    /** Returns the time from [now] until [endpoint], paused or cold, takes a request of this VM, in milliseconds. */
+    /** Returns the time from [now] until [endpoint] takes a request of this VM, in milliseconds. */
     fun waitMs(endpoint: Endpoint, now: Long): Long =
         maxOf(pauses.leftMs(endpoint.incarnation, now), eligibility.waitMs(endpoint, now))
 
+    /** Returns whether the endpoints of [service] are brittle. */
+    fun isBrittle(service: String): Boolean = eligibility.brittleEngines.isBrittle(service)
+
+    /** Counts [admitted] as held back if it was not sent at once and the endpoints of its service are brittle. */
+    fun countHeldBack(admitted: AdmittedRequest, isSent: Boolean) {
+        if (!isSent && isBrittle(admitted.service.name)) eligibility.brittleEngines.onHeldBack()
+    }
+
+    /** Returns [endpoints] without brittle ones that would turn [admitted] away because it exceeds their memory. */
+    inline fun withFittingMemory(
+        endpoints: List<Endpoint>,
+        admitted: AdmittedRequest,
+        kvTotalOf: (Endpoint) -> Long?,
+    ): List<Endpoint> {
+        val engine = admitted.service.engine ?: return endpoints
+        val demand = admitted.caller.demand ?: return endpoints
+        if (!isBrittle(admitted.service.name)) return endpoints
+        val tokens = demand.promptTokens.toLong() + demand.maxOutputTokens
+        return endpoints.filter { tokens <= (kvTotalOf(it) ?: engine.kvCapacityTokens.toLong()) }
+    }
+
+    /** Returns the wait for endpoints of [service] that take no request for [leftMs]: at brittle ones for each turn. */
+    fun waitFor(service: String, leftMs: Long, now: Long): EndpointChoice = if (isBrittle(service)) {
+        EndpointChoice.Limited(maxOf(leftMs, eligibility.brittleEngines.turnMs(service, now)))
+    } else {
+        EndpointChoice.Paused(leftMs)
+    }
+
     /** Returns what [choose] chooses among [open]: a cold endpoint only if no warm one can take the request now. */
     inline fun chooseWarmFirst(
         open: List<Endpoint>,
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ModelDemandTracker.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ModelDemandTracker.kt
@@ -10,7 +10,10 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** Requests with the same key wait for the same model, or for any endpoint, with the same urgency. */
-internal data class DemandKey(val service: String, val model: String?, val urgency: Int)
+internal data class DemandKey(val service: String, val model: String?, val urgency: Int) {
+    /** Returns whether requests with [other] wait for the same. */
+    fun isForSameAs(other: DemandKey): Boolean = service == other.service && model == other.model
+}
 
 /** A request that waits since [sinceMs], in milliseconds of the monotonic clock. */
 internal class WaitingRequest(val key: DemandKey, val sinceMs: Long)
@@ -44,6 +47,22 @@
     /** Returns the number of requests that wait for the same as [admitted]. */
     fun waitingCount(admitted: AdmittedRequest): Int = waitingRequests[keyOf(admitted)]?.size ?: 0
 
+    /** Returns the number of requests that wait for the same as [admitted] and are not less urgent. */
+    fun waitingAhead(admitted: AdmittedRequest): Int {
+        val key = keyOf(admitted)
+        return waitingRequests.entries.sumOf { (other, requests) ->
+            if (other.isForSameAs(key) && other.urgency <= key.urgency) requests.size else 0
+        }
+    }
+
+    /** Returns whether a more urgent request than [admitted] waits for the same. */
+    fun isMoreUrgentWaiting(admitted: AdmittedRequest): Boolean {
+        val key = keyOf(admitted)
+        return waitingRequests.any { (other, requests) ->
+            other.isForSameAs(key) && other.urgency < key.urgency && requests.isNotEmpty()
+        }
+    }
+
     private fun keyOf(admitted: AdmittedRequest) = DemandKey(
         admitted.service.name,
         admitted.caller.demand?.let { modelKey(it.model, it.adapter) },
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -193,6 +193,8 @@
         val events = lastExchange?.progress?.eventCount ?: 0
         if (result.connectionEnded && result.headReceived) endpointPool.outcomes.recordConnectionLost(endpoint)
         if (!result.connectionEnded || events >= ResponseRelay.PROVEN_EVENTS) return false
+        // The requests that such an endpoint turned away, and not the one that ran, ended it.
+        if (endpointPool.outcomes.mayHaveFallen(endpoint)) return false
         val prompt = admitted.sharedPartIds.takeIf { it.isNotEmpty() }
             ?.let { SuspectRequest(it, hasStarted = result.headReceived) }
         // Which engines run a request without a response head is unknown, so fingerprints carry no such claim.
@@ -206,7 +208,7 @@
         // they are not excluded here; the refusal and the pause are remembered elsewhere.
         val mayAcceptLater = result.isWithheld ||
             endpointPool.outcomes.isPaused(endpoint) ||
-            (result.outcome is SendOutcome.RejectedUnrun && admitted.service.engine != null)
+            (result.outcome is SendOutcome.RejectedUnrun && mayTakeLater(endpoint))
         if (!mayAcceptLater) failedEndpoints.add(endpoint.incarnation.id)
         val mayEndEngines = hasEnded && endpointPool.outcomes.mayEndEngines(admitted)
         val history = AttemptHistory(sends.attempts, mayHaveRun, mayEndEngines)
@@ -227,6 +229,9 @@
         return step
     }
 
+    private fun mayTakeLater(endpoint: Endpoint): Boolean =
+        admitted.service.engine != null || endpointPool.outcomes.isBrittle(endpoint)
+
     private suspend fun onUnavailable(selection: EndpointSelection.Unavailable): RequestOutcome =
         if (mayHaveRun) fail(selection.reason) else refuse(selection.retryAfterMs, selection.reason)
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSends.kt
@@ -37,6 +37,10 @@
     @Volatile
     var connectionUses: Int? = null
 
+    /** When the request began to be written, in milliseconds of the monotonic clock, or null before that. */
+    @Volatile
+    var writtenAtMs: Long? = null
+
     /** The response, if its head was received. */
     val received: SendStart.HeadReceived? get() = start as? SendStart.HeadReceived
 
@@ -85,7 +89,9 @@
     /** Begins a send to the endpoint of [selected] and reserves its load until [end]. */
     fun begin(selected: EndpointSelection.Selected): Send {
         val endpoint = selected.endpoint
-        return Send(selected, endpointPool.exchanges.begin(endpoint, admitted.caller.demand)).also(sends::add)
+        val tracked = endpointPool.exchanges.begin(endpoint, admitted.caller.demand)
+        endpointPool.outcomes.recordBegun(endpoint, selected.reservedAtMs)
+        return Send(selected, tracked).also(sends::add)
     }
 
     /** Whether an endpoint may run, or may have run, the request because of any send, also one that goes on. */
@@ -98,6 +104,18 @@
     fun end(send: Send) {
         send.received?.exchange?.finish()
         endpointPool.exchanges.end(send.tracked)
+        val isAborted = send.writtenAtMs != null && send.received?.exchange?.body?.isComplete != true
+        if (endpointPool.outcomes.recordEnded(send.endpoint, isAborted)) endpointPool.onEndpointsChanged()
+    }
+
+    private fun recordAnswer(send: Send, start: SendStart) {
+        val response = start as? SendStart.HeadReceived ?: return
+        val outcomes = endpointPool.outcomes
+        if (response.headers.isFrom(send.endpoint.incarnation.id)) {
+            outcomes.recordBrittle(send.endpoint, response.headers.brittle)
+        }
+        val isTurnedAway = response.headers.didNotRun && response.head.status in statusesOfFullEndpoints
+        send.writtenAtMs?.let { outcomes.recordAnswered(send.endpoint, it, isTurnedAway) }
     }
 
     /**
@@ -115,7 +133,10 @@
                 headersFor(send.endpoint, lastEventId),
                 connectTimeoutMs = remainingMs.coerceIn(1, CONNECT_TIMEOUT_MS),
                 guardOf(send),
-            ).also { send.start = it }
+            ).also {
+                send.start = it
+                recordAnswer(send, it)
+            }
         }
         if (send.start == null) send.start = start
     }
@@ -131,7 +152,12 @@
     private fun guardOf(send: Send) = object : SendGuard {
         private val endpoint = send.endpoint
 
-        override fun maySend() = endpointPool.outcomes.mayStillSend(endpoint, send.reservedAtMs)
+        override fun maySend(): Boolean {
+            val now = steadyMs()
+            send.writtenAtMs = now
+            return endpointPool.outcomes.mayStillSend(endpoint, send.reservedAtMs, now)
+                .also { if (!it) send.writtenAtMs = null }
+        }
 
         override fun onWriting(connectionUses: Int) {
             send.connectionUses = connectionUses
@@ -179,6 +205,9 @@
     private companion object {
         const val LOWEST_PRIORITY = 9
 
+        /** Statuses of endpoints that have no room for a request, or want no more of them. */
+        val statusesOfFullEndpoints = setOf(429, 503)
+
         /** Timeout for opening a connection, in milliseconds: a few round trips. */
         const val CONNECT_TIMEOUT_MS = 400L
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/peers/PeerReport.kt
@@ -6,6 +6,7 @@
 package io.daisybend.entry.peers
 
 import io.daisybend.serving.endpoint.AdapterKey
+import io.daisybend.serving.endpoint.BrittleService
 import io.daisybend.serving.endpoint.EngineHoldings
 import io.daisybend.serving.endpoint.HeldModel
 import io.daisybend.serving.endpoint.Incarnation
@@ -137,6 +138,15 @@
 @Serializable
 internal data class LeavingReport(val endpoint: String, val bornMs: Long)
 
+/** A service whose engines are brittle; see [BrittleService]. */
+@Serializable
+internal data class BrittleReport(
+    val service: String,
+    val limit: Int,
+    val saidAgoMs: Long? = null,
+    val active: Boolean = false,
+)
+
 /** The streams that began at [version] of [service], by their hashes. */
 @Serializable
 internal data class StreamOriginReport(val service: String, val version: String?, val streams: List<Long>)
@@ -214,6 +224,7 @@
     /** Only to VMs of the sender's failure domain, while the sender reads the list for them. */
     val endpointRecords: EndpointRelayReport? = null,
     val promptParts: List<PromptPartsReport> = emptyList(),
+    val brittle: List<BrittleReport> = emptyList(),
 )
 
 /** Returns this report without what only the holder of the order duty uses. */
@@ -274,6 +285,14 @@
 /** Returns the reports of these leaving endpoints. */
 internal fun List<Incarnation>.toLeavingReports(): List<LeavingReport> = map { LeavingReport(it.id, it.bornMs) }
 
+/** Returns the reports of these services. */
+internal fun List<BrittleService>.toBrittleReports(): List<BrittleReport> =
+    map { BrittleReport(it.service, it.limit, it.saidAgoMs, it.isActive) }
+
+/** Returns the reported services. */
+internal fun List<BrittleReport>.toBrittleServices(): List<BrittleService> =
+    map { BrittleService(it.service, it.limit, it.saidAgoMs, it.active) }
+
 /** Returns the reports of these sends. */
 internal fun List<PrefixSend>.toPromptPartsReports(): List<PromptPartsReport> = map { send ->
     val parts = send.prefix.shared
--- a/entry/src/test/kotlin/io/daisybend/entry/BrittleEndpointTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/BrittleEndpointTest.kt
@@ -56,8 +56,10 @@
                 ports.forEach { connect(it).call("GET", "/safe/x").status shouldBe 200 }
                 delay(SETTLE_MS)
                 val before = capacities.sumOf { it.answered.get() }
-                val statuses = load(ports, loadFactor)
+                val loading = scope.async { load(ports, loadFactor) }
+                delay(LOAD_MS)
                 val served = capacities.sumOf { it.answered.get() } - before
+                val statuses = loading.await()
                 val share = served / (CAPACITY_PER_SECOND * LOAD_MS / 1_000)
                 val seen = "falls ${capacities.map { it.falls.get() }}, turned away in a second " +
                     "${capacities.map { it.mostTurnedAway }}, served $share of the capacity, " +
--- a/kernel/src/main/kotlin/io/daisybend/kernel/RendezvousHash.kt
+++ b/kernel/src/main/kotlin/io/daisybend/kernel/RendezvousHash.kt
@@ -22,5 +22,14 @@
     return candidates.map { it to rendezvousScore(key, name(it)) }.maxWithOrNull(order)?.first
 }
 
+/** Returns the index that [candidate], one of [candidates], has in the order of [rankByRendezvous] for [key]. */
+public fun rendezvousRank(key: String, candidate: String, candidates: Collection<String>): Int {
+    val own = rendezvousScore(key, candidate)
+    return candidates.count { other ->
+        val score = rendezvousScore(key, other)
+        score > own || (score == own && other < candidate)
+    }
+}
+
 private fun rendezvousScore(key: String, candidate: String): ULong =
     hasher.hashStream().putString(key).putString(candidate).asLong.toULong()
--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/KnownVms.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/KnownVms.kt
@@ -18,6 +18,11 @@
         lastNamedAtMs.values.removeIf { nowMs - it > MEMORY_MS }
     }
 
+    /** Returns the VMs that the list names and the [peers] that have reported, or null before the first list. */
+    @Synchronized
+    public fun named(peers: Collection<String>): Set<String>? =
+        if (firstListAtMs == null) null else lastNamedAtMs.keys + peers + ownVm
+
     /** Returns the known VMs with the [peers] that have reported, or null until the list is known well enough. */
     @Synchronized
     public fun current(peers: Collection<String>, nowMs: Long): Set<String>? {
--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/HomeRegionsTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/HomeRegionsTest.kt
@@ -55,8 +55,9 @@
     test("only endpoints of the homes that are not evacuated are allowed") {
         val table = EndpointTable()
         listOf("buda", "wien", "graz").forEach { table.put(entry(it, domain = it), 0) }
+        val brittle = BrittleEngines("vm-1", table::ofService, { 0 })
         var evacuated = EvacuatedDomains()
-        val eligibility = EndpointEligibility(ColdEngines("vm-1"), regions) { evacuated }
+        val eligibility = EndpointEligibility(ColdEngines("vm-1"), brittle, regions) { evacuated }
         fun allowed(homes: Set<String>?) = eligibility.allowed(table.ofService("s"), homes).map { it.incarnation.id }
         allowed(null) shouldBe listOf("buda", "wien", "graz")
         allowed(setOf("at")) shouldBe listOf("wien")
