--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -4,6 +4,7 @@
 package io.daisybend.entry
 
 import io.daisybend.entry.exchange.BodyMemory
+import io.daisybend.entry.exchange.BrittleNotices
 import io.daisybend.entry.exchange.CallerListener
 import io.daisybend.entry.exchange.CallerServer
 import io.daisybend.entry.exchange.EndpointConnections
@@ -36,6 +37,8 @@
 import io.daisybend.entry.peers.ReportPurpose
 import io.daisybend.entry.peers.ReportSchedule
 import io.daisybend.entry.peers.TeamUseReport
+import io.daisybend.entry.peers.toBrittleReports
+import io.daisybend.entry.peers.toBrittleServices
 import io.daisybend.entry.peers.toEvidence
 import io.daisybend.entry.peers.toHoldings
 import io.daisybend.entry.peers.toLeavingReports
@@ -56,6 +59,7 @@
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.platform.EngineClient
+import io.daisybend.platform.HttpClient
 import io.daisybend.platform.SocketAddress
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.VmSettings
@@ -147,7 +151,19 @@
             val share = peers.contact(steadyMs()).unreachableShare
             storePolling.evidenceIntervalMs(peers.vmCount, share).takeIf { share > 0.0 }
         }
-    private val rules = EndpointRules(settings, table, peers, log, metrics, ::steadyMs, ::onEndpointsChanged)
+    private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
+    private val rules: EndpointRules = EndpointRules(
+        settings,
+        table,
+        peers,
+        log,
+        metrics,
+        endpointLoads::peersInFlight,
+        ::steadyMs,
+        ::onEndpointsChanged,
+        ::reportSoon,
+    )
+    private val brittleNotices = BrittleNotices(table, rules.brittleEngines, log, ::steadyMs)
     private val configuration: ConfigurationWatcher = ConfigurationWatcher(
         store,
         clocks,
@@ -187,7 +203,6 @@
     private val departures =
         EndpointDepartures(table, connections, log, ::steadyMs, ::onEndpointsChanged, ::reportSoon)
     private val stopState = StopState()
-    private val endpointLoads = EndpointLoads(table, peers::vmCount, reportSchedule, ::steadyMs)
     private val prefixCaches = PrefixCaches(table, ::kvCapacityOf, log, ::steadyMs)
     private val endpointPool: EndpointPool = EndpointPool(
         table,
@@ -205,18 +220,13 @@
         prefixCaches,
         departures,
         pathMonitor,
+        brittleNotices,
         stopState.deadline,
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
-    private val engineClient =
-        EngineClient(connections.calls, connections.orders, departures::onResponse, endpointLoads::onEngineReport)
-    private val relayingEngineClient = EngineClient(
-        connections.callsOver(connectorOf(connections.ofCalls)),
-        connections.orders,
-        departures::onResponse,
-        endpointLoads::onEngineReport,
-    )
+    private val engineClient = engineClientOver(connections.calls)
+    private val relayingEngineClient = engineClientOver(connections.callsOver(connectorOf(connections.ofCalls)))
     private val requestHandler = RequestHandler(
         EndpointConnections(connections.requests, endpointConnector::open, pathMonitor.exchanges),
         endpointPool,
@@ -321,6 +331,14 @@
     private lateinit var scope: CoroutineScope
     private var callerListener: CallerListener? = null
 
+    private fun engineClientOver(calls: HttpClient) = EngineClient(
+        calls,
+        connections.orders,
+        departures::onResponse,
+        endpointLoads::onEngineReport,
+        brittleNotices::onEngineAnswer,
+    )
+
     private fun connectorOf(pool: ConnectionPool) =
         EndpointConnector(pool, relayClient, relayPeers, pathMonitor, ::steadyMs)
 
@@ -606,6 +624,7 @@
             }.toLeavingReports(),
             promptParts = if (isBroadcast) prefixCaches.reportChanges() else emptyList(),
             cutOff = pathMonitor.isCutOff,
+            brittle = rules.brittleEngines.reports(now.steadyMs).toBrittleReports(),
         )
     }
 
@@ -648,6 +667,7 @@
             report.uptimeMs,
         )
         endpointLoads.onPeerReport(report)
+        rules.brittleEngines.onPeerReport(report.vm, report.brittle.toBrittleServices(), now)
         prefixCaches.onPeerReport(report.promptParts)
         quarantine.onEvidence(report.prompts.toEvidence(), now)
         endpointRateLimiter.onPeerUses(report.vm, report.startedAtMs, report.limits.toUses(), isPeerOlder, now)
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -202,6 +202,8 @@
         val events = lastExchange?.progress?.eventCount ?: 0
         if (result.connectionEnded && result.headReceived) endpointPool.outcomes.recordConnectionLost(endpoint)
         if (!result.connectionEnded || events >= ResponseRelay.PROVEN_EVENTS) return false
+        // The requests that such an endpoint turned away, and not the one that ran, ended it.
+        if (endpointPool.outcomes.mayHaveFallen(endpoint)) return false
         val check = endCheck ?: checkEnd(endpoint, result.headReceived)
         return admitted.route.mayRetry && check.await()
     }
@@ -232,7 +234,7 @@
         val mayAcceptLater = result.isWithheld ||
             endpointPool.outcomes.isPaused(endpoint) ||
             isReachedThroughPeer(result, endpoint) ||
-            (result.outcome is SendOutcome.RejectedUnrun && admitted.service.engine != null)
+            (result.outcome is SendOutcome.RejectedUnrun && mayTakeLater(endpoint))
         if (!mayAcceptLater) failedEndpoints.add(endpoint.incarnation.id)
         val mayEndEngines = hasEnded && endpointPool.outcomes.mayEndEngines(admitted)
         val history = AttemptHistory(sends.attempts, mayHaveRun, mayEndEngines)
@@ -253,6 +255,9 @@
         return step
     }
 
+    private fun mayTakeLater(endpoint: Endpoint): Boolean =
+        admitted.service.engine != null || endpointPool.outcomes.isBrittle(endpoint)
+
     private suspend fun onUnavailable(selection: EndpointSelection.Unavailable): RequestOutcome =
         if (mayHaveRun) fail(selection.reason) else refuse(selection.retryAfterMs, selection.reason)
 
@@ -322,7 +327,8 @@
         val received = send.received
         if (received == null || received.headers.didNotRun || received.head.status >= FIRST_SERVER_ERROR) {
             // An engine that restarts accepts connections again before the offer is decided.
-            if ((send.start as? SendStart.NoResponse)?.connectionEnded == true) {
+            val hasBroken = (send.start as? SendStart.NoResponse)?.connectionEnded == true
+            if (hasBroken && !endpointPool.outcomes.mayHaveFallen(send.endpoint)) {
                 endCheck = checkEnd(send.endpoint, headReceived = false)
             }
             return handover.awaitOffer()
--- a/entry/src/test/kotlin/io/daisybend/entry/orders/DutyFleet.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/orders/DutyFleet.kt
@@ -24,6 +24,7 @@
 import io.daisybend.platform.readConfiguration
 import io.daisybend.serving.duty.DutyHolder
 import io.daisybend.serving.duty.DutySettings
+import io.daisybend.serving.endpoint.BrittleEngines
 import io.daisybend.serving.endpoint.ColdEngines
 import io.daisybend.serving.endpoint.EndpointEligibility
 import io.daisybend.serving.endpoint.EndpointEntry
@@ -186,7 +187,11 @@
             table,
             this,
             EndpointRateLimiter(),
-            EndpointEligibility(ColdEngines(name), HomeRegions("north", "home", emptyMap())) { EvacuatedDomains() },
+            EndpointEligibility(
+                ColdEngines(name),
+                BrittleEngines(name, table::ofService, peersInFlight = { 0 }),
+                HomeRegions("north", "home", emptyMap()),
+            ) { EvacuatedDomains() },
             configuration = { routes },
             ownVm = name,
             loadWindowMs = 5_000,
