Ask for relayed connections where RelayTest takes kept ones

The pool hands out direct connections unless its user accepts relayed ones, so that orders and calls to the store never go through a peer. The test took them without saying so; it now asks for relayed ones and checks the same.

--- a/entry/src/test/kotlin/io/daisybend/entry/relay/RelayTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/relay/RelayTest.kt
@@ -198,16 +198,16 @@
         withRelay(RelayLimits(idleTimeoutMs = 400)) {
             pool.release(open().first, 10_000)
             pool.closeIdleRelayedBy("vm-2")
-            pool.takeIdle(target).shouldBeNull()
+            pool.takeIdle(target) { it.relayedBy != null }.shouldBeNull()
             val (idle, endpoint) = open()
             endpoint.awaitClose() shouldBeLessThan 400 + QUICK_MS
             runCatching { idle.source.readToEnd() }.shouldBeBroken(isPeerLost = true)
             eventually(1.seconds) { server.inProgress shouldBe 0 }
             val kept = List(3) { open().first }.onEach { pool.release(it, 10_000) }
-            pool.release(pool.takeIdle(target).shouldNotBeNull(), 10_000)
+            pool.release(pool.takeIdle(target) { it.relayedBy != null }.shouldNotBeNull(), 10_000)
             server.startDraining()
             eventually(300.milliseconds) { kept.none { it.isReusable } shouldBe true }
-            pool.takeIdle(target).shouldBeNull()
+            pool.takeIdle(target) { it.relayedBy != null }.shouldBeNull()
             connect() shouldBe RelayResult.PeerUnavailable("stopping")
         }
     }
