--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -17,7 +17,6 @@
 import io.daisybend.entry.exchange.RequestFingerprinter
 import io.daisybend.entry.exchange.RequestHandler
 import io.daisybend.entry.exchange.StopState
-import io.daisybend.entry.http.ConnectionPool
 import io.daisybend.entry.http.Dialer
 import io.daisybend.entry.http.OutgoingConnections
 import io.daisybend.entry.http.TcpDialer
@@ -59,7 +58,6 @@
 import io.daisybend.entry.store.VmRegistry
 import io.daisybend.kernel.rankByRendezvous
 import io.daisybend.platform.EngineClient
-import io.daisybend.platform.HttpClient
 import io.daisybend.platform.SocketAddress
 import io.daisybend.platform.StoreClient
 import io.daisybend.platform.VmSettings
@@ -126,9 +124,13 @@
     private val loadForecast = LoadForecast(isListed = { table.find(it) != null })
     private val pathMonitor: PathMonitor =
         PathMonitor(table, log, metrics, ::steadyMs, { endpointConnector }, ::onCutOff, ::reportSoon)
-    private val relayClient = RelayClient(selector, settings.vm, log, ::steadyMs)
-    private val relayPeers = RelayPeers(peers, settings.failureDomain, ::steadyMs)
-    private val endpointConnector = connectorOf(connections.requests)
+    private val endpointConnector = EndpointConnector(
+        connections.requests,
+        RelayClient(selector, settings.vm, log, ::steadyMs),
+        RelayPeers(peers, settings.failureDomain, ::steadyMs),
+        pathMonitor,
+        ::steadyMs,
+    )
     private val teamRateLimiter = TeamRateLimiter(requestEarlyReport = ::reportSoon)
     private val teamRejections = TeamRejections(teamRateLimiter, log, metrics)
     private val fleet: Fleet = Fleet(settings.vm, peers, loadForecast, ::steadyMs) {
@@ -225,8 +227,15 @@
         endpointWatcher::listAgeMs,
         ::steadyMs,
     )
-    private val engineClient = engineClientOver(connections.calls)
-    private val relayingEngineClient = engineClientOver(connections.callsOver(connectorOf(connections.ofCalls)))
+    private val engineClient = EngineClient(
+        connections.calls,
+        connections.orders,
+        departures::onResponse,
+        endpointLoads::onEngineReport,
+        brittleNotices::onEngineAnswer,
+    )
+    private val relayingEngineClient =
+        engineClient.over(connections.callsOver(endpointConnector.over(connections.ofCalls)))
     private val requestHandler = RequestHandler(
         EndpointConnections(connections.requests, endpointConnector::open, pathMonitor.exchanges),
         endpointPool,
@@ -331,17 +340,6 @@
     private lateinit var scope: CoroutineScope
     private var callerListener: CallerListener? = null
 
-    private fun engineClientOver(calls: HttpClient) = EngineClient(
-        calls,
-        connections.orders,
-        departures::onResponse,
-        endpointLoads::onEngineReport,
-        brittleNotices::onEngineAnswer,
-    )
-
-    private fun connectorOf(pool: ConnectionPool) =
-        EndpointConnector(pool, relayClient, relayPeers, pathMonitor, ::steadyMs)
-
     private fun reportSoon() = peerLink.reportSoon()
 
     private fun steadyMs(): Long = clocks.read().steadyMs
@@ -385,7 +383,20 @@
         keepRunning("path-monitor") { pathMonitor.run() }
         keepRunning("load-monitor") { load.run() }
         keepRunning("store-call-log") { storeCallLog.run() }
-        registerGauges()
+        rules.registerMetrics()
+        VmGauges(
+            metrics,
+            log,
+            configuration,
+            bodyMemory,
+            endpointRateLimiter,
+            pauses,
+            endpointWatcher,
+            endpointLoads,
+            prefixCaches,
+            callers,
+            ::steadyMs,
+        ).register()
         log.write("started", "failureDomain" to settings.failureDomain, "callers" to settings.callerAddress.toString())
     }
 
@@ -413,51 +424,6 @@
             backlogSize = BACKLOG
         }
 
-    private fun registerGauges() {
-        rules.registerMetrics()
-        metrics.addGauge("daisybend_configuration_age_seconds", "Time since the store confirmed the configuration") {
-            configuration.confirmationAgeMs() / MILLIS_PER_SECOND
-        }
-        metrics.addGauge("daisybend_log_lines_dropped", "Log lines beyond the limit of a second") {
-            log.droppedCount.toDouble()
-        }
-        metrics.addGauge("daisybend_body_bytes", "Memory that bodies of requests take, in bytes") {
-            bodyMemory.bytesInUse.toDouble()
-        }
-        metrics.addGauges("daisybend_endpoint_limit", "Limits that endpoints name, in requests a second", "endpoint") {
-            endpointRateLimiter.current.mapKeys { it.key.id }
-        }
-        metrics.addGauges(
-            "daisybend_endpoint_paused_seconds",
-            "Time for which endpoints want no requests",
-            "endpoint",
-        ) {
-            pauses.current(steadyMs()).entries.associate { (endpoint, leftMs) ->
-                endpoint.id to
-                    leftMs / MILLIS_PER_SECOND
-            }
-        }
-        metrics.addCounters("daisybend_list_relays", "Received parts of the endpoint list", label = "use") {
-            endpointWatcher.relayCounts()
-        }
-        metrics.addCounters(
-            "daisybend_endpoint_load_samples_total",
-            "Loads that endpoints stated, by how they were used",
-            "use",
-        ) { endpointLoads.sampleCounts }
-        metrics.addCounters(
-            "daisybend_prefix_cache_tokens_total",
-            "Prompt tokens that prefix caches were expected to save, that a choice gave up, and that were missed",
-            "result",
-        ) { prefixCaches.tokenCounts }
-        metrics.addGauge("daisybend_prefix_cache_expected_tokens", "Tokens expected in the prefix caches of engines") {
-            prefixCaches.heldTokens().toDouble()
-        }
-        metrics.addGauge("daisybend_requests_under_way", "Requests read and not yet answered") {
-            callers.requestsInProgress.toDouble()
-        }
-    }
-
     /**
      * Stops gracefully; returns when the process may end. The grace period counts from [requestedAtMs] of the monotonic
      * clock, from now if that is null.
@@ -595,12 +561,7 @@
             endpoints = endpointPool.exchanges.endpointUses(),
             queuedDemand = endpointPool.demand.queuedDemand(),
             requests = endpointPool.demand.requestCounts(peers.repeatWindowMs),
-            holdings =
-            if (leaseManager.currentEpoch() != null && purpose != ReportPurpose.RELAY) {
-                orderController.announcements(changedSinceMs)
-            } else {
-                emptyList()
-            },
+            holdings = holdingsFor(purpose, changedSinceMs),
             prompts = when (purpose) {
                 ReportPurpose.BROADCAST -> quarantine.reportChanges(now.steadyMs)
                 ReportPurpose.COMPLETE -> quarantine.evidence(now.steadyMs)
@@ -628,6 +589,13 @@
         )
     }
 
+    private fun holdingsFor(purpose: ReportPurpose, changedSinceMs: Long?) =
+        if (leaseManager.currentEpoch() != null && purpose != ReportPurpose.RELAY) {
+            orderController.announcements(changedSinceMs)
+        } else {
+            emptyList()
+        }
+
     /** Records a broadcast at [nowMs]; returns since when the changes are that it must contain. */
     private fun startBroadcast(nowMs: Long): Long {
         val changedSinceMs = broadcastTimesMs.firstOrNull()?.takeIf { broadcastTimesMs.size == ReportSchedule.REPEATS }
@@ -699,8 +667,6 @@
     }
 
     private companion object {
-        const val MILLIS_PER_SECOND = 1000.0
-
         /** How long a VM that starts waits for the first report of a peer, in milliseconds: two report intervals. */
         const val FIRST_REPORT_TIMEOUT_MS = 600L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointOutcomes.kt
@@ -27,7 +27,8 @@
     private val pauses: EndpointPauses,
     private val eligibility: EndpointEligibility,
     private val departures: EndpointDepartures,
-    private val paths: PathState,
+    /** What is known of the direct paths to endpoints; lost connections say nothing of one whose path is down. */
+    val paths: PathState,
     private val brittleNotices: BrittleNotices,
     private val steadyMs: () -> Long,
 ) {
@@ -47,15 +48,9 @@
 
     /** Records that a connection to [endpoint] was refused or broke, so that it may have restarted. */
     fun recordConnectionLost(endpoint: Endpoint) {
-        if (!isPathDown(endpoint)) eligibility.coldEngines.onConnectionLost(endpoint, steadyMs())
+        if (!paths.isDown(endpoint)) eligibility.coldEngines.onConnectionLost(endpoint, steadyMs())
     }
 
-    /** Whether [endpoint] is up but this VM can't reach it directly, so that lost connections say nothing of it. */
-    fun isPathDown(endpoint: Endpoint): Boolean = paths.isDown(endpoint)
-
-    /** Whether this VM reaches no endpoint directly. */
-    val isCutOff: Boolean get() = paths.isCutOff
-
     /** Records that [endpoint] said that it stays cold for [leftMs] milliseconds. */
     fun recordColdLeft(endpoint: Endpoint, leftMs: Long) =
         eligibility.coldEngines.onNamed(endpoint, leftMs, steadyMs())
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -7,6 +7,7 @@
 
 import io.daisybend.entry.EventLog
 import io.daisybend.entry.http.BodyFraming
+import io.daisybend.entry.path.isDown
 import io.daisybend.platform.attemptIdHeader
 import io.daisybend.platform.promisesNotRun
 import io.daisybend.platform.retryAfterHeader
@@ -138,7 +139,7 @@
             when (decideNextStep(result, endpoint, hasEnded)) {
                 NextStep.SendElsewhere -> Unit
                 NextStep.RefuseUnrun -> return refuse(
-                    if (endpointPool.outcomes.isCutOff && result.outcome is SendOutcome.NotSent) {
+                    if (endpointPool.outcomes.paths.isCutOff && result.outcome is SendOutcome.NotSent) {
                         CUT_OFF_RETRY_AFTER_MS
                     } else {
                         endpointPool.servedInMs(admitted, requiredVersion)
@@ -219,12 +220,13 @@
 
     /** Whether only the direct path to [endpoint] is to blame for [result], so that the endpoint may be used again. */
     private fun isReachedThroughPeer(result: SendResult, endpoint: Endpoint): Boolean =
-        endpointPool.outcomes.isPathDown(endpoint) &&
-            (result.outcome !is SendOutcome.NotSent || endpointPool.outcomes.isCutOff)
+        endpointPool.outcomes.paths.isDown(endpoint) &&
+            (result.outcome !is SendOutcome.NotSent || endpointPool.outcomes.paths.isCutOff)
 
     /** Whether this VM is cut off and no peer could help with this send and the one before. */
     private fun hasNoPath(result: SendResult): Boolean {
-        if (result.outcome !is SendOutcome.NotSent || result.isWithheld || !endpointPool.outcomes.isCutOff) return false
+        val isUnsent = result.outcome is SendOutcome.NotSent && !result.isWithheld
+        if (!isUnsent || !endpointPool.outcomes.paths.isCutOff) return false
         return ++sendsWithoutPath > 1
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/ResponseRelay.kt
@@ -11,6 +11,7 @@
 import io.daisybend.entry.http.MalformedMessage
 import io.daisybend.entry.http.MalformedMessageException
 import io.daisybend.entry.http.readAll
+import io.daisybend.entry.path.isDown
 import io.daisybend.platform.headersForCaller
 import io.daisybend.serving.attempt.SendOutcome
 import io.daisybend.serving.endpoint.Endpoint
@@ -137,7 +138,7 @@
         connectionEnded: Boolean,
     ): SendResult {
         response.exchange.abort()
-        val isPathDown = connectionEnded && endpointPool.outcomes.isPathDown(endpoint)
+        val isPathDown = connectionEnded && endpointPool.outcomes.paths.isDown(endpoint)
         if (remainingMs > 0 && !isPathDown) endpointPool.outcomes.recordFailure(endpoint)
         return SendResult(SendOutcome.Unknown, reason, connectionEnded = connectionEnded)
     }
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/SendRecorder.kt
@@ -5,6 +5,7 @@
 package io.daisybend.entry.exchange
 
 import io.daisybend.entry.EventLog
+import io.daisybend.entry.path.isDown
 import io.daisybend.platform.ColdLeft
 import io.daisybend.platform.RequestLimit
 import io.daisybend.platform.RetryAfter
@@ -20,7 +21,7 @@
 ) {
     /** Records that no byte of the request of [send] was written. */
     fun onNotSent(send: Send, start: SendStart.NotSent) {
-        if (!start.isWithheld && !outcomes.isPathDown(send.endpoint)) outcomes.recordUnreachable(send.endpoint)
+        if (!start.isWithheld && !outcomes.paths.isDown(send.endpoint)) outcomes.recordUnreachable(send.endpoint)
         outcomes.recordUnsent(send.endpoint, send.reservedAtMs)
     }
 
@@ -28,7 +29,7 @@
     fun onNoResponse(endpoint: Endpoint, start: SendStart.NoResponse) {
         if (start.isPathLost) return
         if (start.connectionEnded) outcomes.recordConnectionLost(endpoint)
-        val isPathDown = start.connectionEnded && outcomes.isPathDown(endpoint)
+        val isPathDown = start.connectionEnded && outcomes.paths.isDown(endpoint)
         if (admitted.deadlineAtMs > steadyMs() && !start.withdrawn && !isPathDown) outcomes.recordFailure(endpoint)
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/http/PooledHttpClient.kt
@@ -16,8 +16,8 @@
 
 /**
  * Makes HTTP calls over connections that [open] returns; each has one of its own unless [keepsConnections]. Aborts the
- * connection of a call that fails or times out: an order or an append that the system goes on sending while a link is cut
- * would arrive long after a later one.
+ * connection of a call that fails or times out: an order or an append that the system goes on sending while a link is
+ * cut would arrive long after a later one.
  */
 internal class PooledHttpClient(
     private val connectionPool: ConnectionPool,
--- a/entry/src/main/kotlin/io/daisybend/entry/path/EndpointConnector.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/EndpointConnector.kt
@@ -35,6 +35,9 @@
     /** Endpoints for which a peer is asked while the direct path may work. */
     private val racing = ConcurrentHashMap.newKeySet<SocketAddress>()
 
+    /** Returns a connector over the idle connections of [pool]. */
+    fun over(pool: ConnectionPool) = EndpointConnector(pool, relayClient, peers, paths, steadyMs)
+
     /**
      * Returns an idle connection to [address] that is not known to be dead and on which [requestId] was not refused, or
      * a new one; null if there is none within [timeoutMs].
