--- a/entry/src/test/kotlin/io/daisybend/entry/soak/SoakEngine.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/soak/SoakEngine.kt
@@ -133,6 +133,8 @@
         timeline.note("engine $id is gone")
         end()
         server.stopListening()
+        // What the engine has written arrives although its process ends.
+        delay(IN_TRANSIT_MS)
         proxy?.close()
     }
 
@@ -312,6 +314,9 @@
         /** Time that the stand-in takes to close its connections and to listen again, in milliseconds. */
         const val RESTART_MS = 300L
         const val POLL_MS = 10L
+
+        /** Time in which a link carries what was written, in milliseconds. */
+        const val IN_TRANSIT_MS = 500L
         const val MODEL = """{"name":"m1","version":1,"adapters":[]}"""
         val notExecuted = Header("X-Daisybend-Not-Executed", "1")
     }
