Move exchanges on when the VM that relays them is lost

A safe request or resumable stream that had received nothing hung until its deadline if the helping VM was cut off itself in the middle. CutOffVmTest: of four VMs one is cut off, then a second one, and a third one is killed; the three that are left serve at least 0.9 of tries from 2 s after that, with no duplicate and no false promise. Endpoints that crash for all VMs cause no cut-off.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -120,12 +120,13 @@
     private val reportSchedule = ReportSchedule(settings.linkMbps)
     private val peers = PeerTable(settings.vm, reportSchedule)
     private val loadForecast = LoadForecast(isListed = { table.find(it) != null })
+    private val relayPeers = RelayPeers(peers, settings.failureDomain, ::steadyMs)
     private val pathMonitor: PathMonitor =
-        PathMonitor(table, log, metrics, ::steadyMs, { endpointConnector }, ::onCutOff, ::reportSoon)
+        PathMonitor(table, log, metrics, ::steadyMs, relayPeers, { endpointConnector }, ::onCutOff, ::reportSoon)
     private val endpointConnector = EndpointConnector(
         connectionPool,
         RelayClient(selector, settings.vm, log, ::steadyMs),
-        RelayPeers(peers, settings.failureDomain, ::steadyMs),
+        relayPeers,
         pathMonitor,
         ::steadyMs,
     )
--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/EndpointSend.kt
@@ -164,7 +164,7 @@
         connection.close()
         throw cancelled
     } catch (broken: IOException) {
-        if (waiting?.isMoved == true) return abandonForPeer(connection, writeJob)
+        if (waiting.isMoved) return abandonForPeer(connection, writeJob)
         abandon(connection, writeJob, broken.message.orEmpty(), connectionEnded = true)
     } catch (malformed: MalformedMessageException) {
         abandon(connection, writeJob, "an answer that is not in the protocol: ${malformed.problem.reason}")
@@ -182,7 +182,7 @@
 
 private fun abandonForPeer(connection: Connection, writeJob: Deferred<Boolean>): SendStart {
     abandon(connection, writeJob, "")
-    return SendStart.NoResponse("nothing arrives, and this VM is cut off from the endpoints", isPathLost = true)
+    return SendStart.NoResponse("nothing arrives, and the path to the endpoint is lost", isPathLost = true)
 }
 
 private fun abandon(
--- a/entry/src/main/kotlin/io/daisybend/entry/path/PathMonitor.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/PathMonitor.kt
@@ -21,6 +21,7 @@
     private val log: EventLog,
     metrics: Metrics,
     private val steadyMs: () -> Long,
+    private val relayPeers: RelayPeers,
     private val connector: () -> EndpointConnector,
     private val onCutOff: (sinceMs: Long) -> Unit,
     private val onChange: () -> Unit,
@@ -70,15 +71,17 @@
             (silent + paths.takeTrials(nowMs)).distinct().forEach { address ->
                 launch { connector().testPath(address, TEST_TIMEOUT_MS) }
             }
-            if (isCutOff) moveSilentExchanges(nowMs)
+            moveSilentExchanges(nowMs)
         }
     }
 
     /** Live connections may go on while new ones are refused, so silence counts only if nothing arrives at all. */
     private fun moveSilentExchanges(nowMs: Long) {
         val isHeard = exchanges.lastHeardAtMs()?.let { nowMs - it < SILENT_MS } ?: false
-        if (isHeard) return
-        val moved = exchanges.moveSilent(SILENT_MS)
+        val areDirectOnesLost = isCutOff && !isHeard
+        val moved = exchanges.moveSilent(SILENT_MS) { connection ->
+            connection.relayedBy?.let(relayPeers::isLost) ?: areDirectOnesLost
+        }
         if (moved > 0) log.write("silent-exchanges-moved", "count" to moved)
     }
 
--- a/entry/src/main/kotlin/io/daisybend/entry/path/RelayPeers.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/RelayPeers.kt
@@ -34,6 +34,12 @@
         return canHelp(peer) && peers.isAlive(peer, steadyMs())
     }
 
+    /** Whether exchanges through the peer [vm] can't go on: it is gone, or is cut off itself. */
+    fun isLost(vm: String): Boolean {
+        val peer = peers.find(vm) ?: return true
+        return !peers.isAlive(peer, steadyMs()) || peer.report?.cutOff == true
+    }
+
     private fun canHelp(peer: Peer): Boolean = peer.report?.let { !it.stopping && !it.cutOff } ?: false
 
     /** Puts [peer] behind the others for a while, since it could not help. */
--- a/entry/src/main/kotlin/io/daisybend/entry/path/WaitingExchanges.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/WaitingExchanges.kt
@@ -1,6 +1,7 @@
 /*
- * Exchanges under way on direct connections. An endpoint from which nothing arrives on any connection, while an
- * exchange waits there, may be silent or out of reach. Exchanges that have received nothing can go on through a peer.
+ * Exchanges under way at endpoints. An endpoint from which nothing arrives on any direct connection, while an exchange
+ * waits there, may be silent or out of reach. Exchanges that have received nothing can go on through a peer, or through
+ * another one if theirs is lost.
  */
 package io.daisybend.entry.path
 
@@ -35,38 +36,45 @@
     }
 }
 
-/** The exchanges under way on direct connections. */
+/** The exchanges under way. */
 internal class WaitingExchanges(private val steadyMs: () -> Long) {
     private val exchanges = ConcurrentHashMap.newKeySet<WaitingExchange>()
 
-    /** Begins an exchange on [connection]; null if that is relayed. */
-    fun begin(connection: Connection, mayMove: Boolean): WaitingExchange? {
-        if (connection.relayedBy != null) return null
-        return WaitingExchange(connection, mayMove, steadyMs()).also(exchanges::add)
-    }
+    private val direct get() = exchanges.filter { it.connection.relayedBy == null }
+
+    /** Begins an exchange on [connection]. */
+    fun begin(connection: Connection, mayMove: Boolean): WaitingExchange =
+        WaitingExchange(connection, mayMove, steadyMs()).also(exchanges::add)
 
     /** Ends [exchange]. */
-    fun end(exchange: WaitingExchange?) {
-        exchange?.let(exchanges::remove)
+    fun end(exchange: WaitingExchange) {
+        exchanges.remove(exchange)
     }
 
     /** Returns the endpoints from which nothing has arrived for [silentMs] while exchanges wait there. */
     fun silentEndpoints(silentMs: Long): Set<SocketAddress> {
         val nowMs = steadyMs()
         exchanges.forEach { it.update(nowMs) }
-        return exchanges.groupBy({ it.connection.address }, { it.heardAtMs })
+        return direct.groupBy({ it.connection.address }, { it.heardAtMs })
             .filterValues { nowMs - it.max() >= silentMs }
             .keys
     }
 
     /** When bytes last arrived on any direct connection with an exchange, or null if there is none. */
-    fun lastHeardAtMs(): Long? = exchanges.filter { !it.hasReceivedNothing }.maxOfOrNull { it.heardAtMs }
+    fun lastHeardAtMs(): Long? = direct.filter { !it.hasReceivedNothing }.maxOfOrNull { it.heardAtMs }
 
-    /** Ends the exchanges that have received nothing for [silentMs] and may be sent again; returns how many. */
-    fun moveSilent(silentMs: Long): Int {
+    /**
+     * Ends the exchanges that have received nothing for [silentMs], may be sent again and whose connection [isLost];
+     * returns how many.
+     */
+    fun moveSilent(silentMs: Long, isLost: (Connection) -> Boolean): Int {
         val nowMs = steadyMs()
         val silent = exchanges.filter {
-            it.mayMove && !it.isMoved && it.hasReceivedNothing && nowMs - it.heardAtMs >= silentMs
+            it.mayMove &&
+                !it.isMoved &&
+                it.hasReceivedNothing &&
+                nowMs - it.heardAtMs >= silentMs &&
+                isLost(it.connection)
         }
         silent.forEach { it.move() }
         return silent.size
--- a/entry/src/test/kotlin/io/daisybend/entry/CutOffVmTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/CutOffVmTest.kt
@@ -12,6 +12,11 @@
 import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -33,19 +38,30 @@
             }
         }
     }
+
+    test("callers are served while the VMs that help are cut off and killed in turn") {
+        withFleet { fleet -> fleet.playLostHelpers() }
+    }
+
+    test("endpoints that are down for all VMs make none of them think that it is cut off") {
+        withFleet { fleet -> fleet.playEndpointsDown() }
+    }
 })
 
 private suspend fun withFleet(play: suspend (CutFleet) -> Unit) {
     val links = ArrayList<EndpointLink>()
+    val lastScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     try {
         withSite(prepare = { dialer = { EndpointLink(endpoints).also { links.add(it) } } }) {
             configure()
             val ports = listOf(callerPort) + (2..VMS).map { number ->
-                startPeer("vm-$number", dialer = EndpointLink(endpoints).also { links.add(it) })
+                val peerScope = if (number == VMS) lastScope else scope
+                startPeer("vm-$number", peerScope, EndpointLink(endpoints).also { links.add(it) })
             }
-            play(CutFleet(this, ports, links))
+            play(CutFleet(this, ports, links, killLast = { lastScope.cancel() }))
         }
     } finally {
+        lastScope.cancel()
         links.forEach { it.close() }
     }
 }
@@ -53,8 +69,13 @@
 /** One try of a caller at the VM numbered [vm], and the status of its answer, or null without one. */
 private data class Try(val vm: Int, val path: String, val id: String, val startedAtMs: Long, val status: Int?)
 
-/** The VMs of [site], with their ports for callers and their links to the endpoints. */
-private class CutFleet(private val site: Site, private val ports: List<Int>, private val links: List<EndpointLink>) {
+/** The VMs of [site], with their ports for callers and their links to the endpoints; the last one can be killed. */
+private class CutFleet(
+    private val site: Site,
+    private val ports: List<Int>,
+    private val links: List<EndpointLink>,
+    private val killLast: () -> Unit,
+) {
     private val tries = CopyOnWriteArrayList<Try>()
     private var number = 0
 
@@ -93,6 +114,38 @@
         }
     }
 
+    suspend fun playLostHelpers() {
+        callFor(1_000)
+        links[0].setCut(Cut.HANGING)
+        callFor(2_000)
+        links[1].setCut(Cut.HANGING)
+        callFor(1_500)
+        killLast()
+        callFor(2_000)
+        val settledAtMs = nowMs()
+        callFor(3_000)
+        delay(TRY_TIMEOUT_MS)
+        assertSoftly {
+            withClue(failures(settledAtMs)) {
+                servedShare(settledAtMs, nowMs()) { it < VMS }.values.min() shouldBeGreaterThanOrEqual 0.9
+            }
+            checkPromises()
+        }
+    }
+
+    suspend fun playEndpointsDown() {
+        callFor(500)
+        site.endpoints.forEach { it.crash() }
+        links.indices.forEach { vm -> paths.forEach { path -> repeat(3) { call(vm + 1, path) } } }
+        site.metrics() shouldContain "daisybend_cut_off 0.0"
+        delay(2_000)
+        val restartedAtMs = nowMs()
+        callFor(1_000)
+        delay(500)
+        site.metrics() shouldContain "daisybend_cut_off 0.0"
+        servedShare(restartedAtMs, nowMs()) { true }.values.min() shouldBeGreaterThanOrEqual 0.95
+    }
+
     private fun failures(sinceMs: Long) =
         tries.filter { it.startedAtMs >= sinceMs && it.status != 200 }.groupingBy { it.vm to it.status }.eachCount()
 
