--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/BrittleEnginesTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/BrittleEnginesTest.kt
@@ -78,7 +78,9 @@
                 each.sumOf { it.turnedAway } shouldBe limit
             }
             if (vmCount > slots + limit) continue
-            shares.forEach { share -> endpoints.sumOf { share.of(it.incarnation)!!.slots } shouldBeGreaterThanOrEqual 1 }
+            shares.forEach { share ->
+                endpoints.sumOf { share.of(it.incarnation)!!.slots } shouldBeGreaterThanOrEqual 1
+            }
         }
     }
 
