Tell the order duty when this VM is cut off from all endpoints

The order duty takes from the path monitor whether this VM is cut off, and from the reports which peers are.

--- a/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/EntryVm.kt
@@ -246,7 +246,7 @@
         metrics,
         ::steadyMs,
     )
-    private val dutyCandidates = DutyCandidates(settings.vm, ::candidatePeers)
+    private val dutyCandidates = DutyCandidates(settings.vm, ::candidatePeers, pathMonitor::isCutOff) { !it.cutOff }
     private val leaseManager: LeaseManager = LeaseManager(
         store,
         clocks,
@@ -272,6 +272,7 @@
         load,
         metrics,
         ::steadyMs,
+        pathMonitor::isCutOff,
     )
     private val dutyGaps = DutyGapMonitor(log, metrics, ::steadyMs)
     private val peerLink: PeerLink =
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/FakeEndpoint.kt
@@ -135,6 +135,10 @@
     @Volatile
     var isDraining = false
 
+    /** Whether the entry in the list shows an engine, which holds no model and takes orders. */
+    @Volatile
+    var takesOrders = false
+
     /** The failure domain that the list of endpoints names. */
     @Volatile
     var zone = "north"
@@ -198,6 +202,9 @@
     /** Behaviours for the next requests. */
     val behaviours = ConcurrentLinkedQueue<Behaviour>()
 
+    /** Orders, which are all refused, with the times of their arrivals in milliseconds of the monotonic clock. */
+    val orders = CopyOnWriteArrayList<Pair<Long, String>>()
+
     /** Requests that ran. */
     val ran = CopyOnWriteArrayList<FakeServerCall>()
 
@@ -207,7 +214,10 @@
     suspend fun handle(call: FakeServerCall) {
         if (call.header("X-Daisybend-Expect-Instance") != (successorId ?: id)) return call.respond(421)
         if (call.head.path == "/daisybend/report") return call.respond(200, report().encodeToByteArray())
-        if (call.head.path == "/daisybend/order") return call.respond(409)
+        if (call.head.path == "/daisybend/order") {
+            orders.add(System.nanoTime() / NANOS_PER_MILLI to call.body.decodeToString())
+            return call.respond(409)
+        }
         val behaviour = behaviours.poll() ?: Behaviour.SERVE
         if (behaviour in refusals) return refuse(call, behaviour)
         refusedIds[call.source]?.let { repeatRefusal(call, behaviour, it) }
@@ -377,6 +387,7 @@
         private const val BREAK_AT_EVENT = 4
         private const val EXTRA_DELAY_MS = 30L
 
+        private const val NANOS_PER_MILLI = 1_000_000L
         private const val DRIP_MS = 250L
         private const val RAW_MS = 5L
         private const val AROUND_DEADLINE_MS = 4L
--- a/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/standin/Site.kt
@@ -232,7 +232,8 @@
         val address = """"address":"127.0.0.1:$port","zone":"${endpoint.zone}","coldLeftMs":${endpoint.coldLeftMs}"""
         val stage = if (endpoint.isDraining) "draining" else "ready"
         val state = """"slots":6,"state":"$stage","born":$bornMs,"version":"${endpoint.version}""""
-        store.put("keyed.servers", endpoint.successorId ?: endpoint.id, """{"service":"s1",$address,$state}""")
+        val models = if (endpoint.takesOrders) ""","models":[]""" else ""
+        store.put("keyed.servers", endpoint.successorId ?: endpoint.id, """{"service":"s1",$address,$state$models}""")
     }
 
     /** Configures routes with [timeoutMs] and a [service], and waits until the VM serves them. */
