Find a cut in a busy fleet, and eject endpoints that peers can't reach either

A test of a path now gives a peer 1 s, a peer's failure after a short wait is no evidence, and sends of a VM whose path is down get twice the time.

By reading: an endpoint that had really ended was never ejected by a VM that was cut off. Its failures count again once peers say that they can't reach it.

--- a/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/exchange/RequestSender.kt
@@ -129,11 +129,12 @@
                 continue
             }
             val endpoint = send.endpoint
+            if (hasNoPath(result, endpoint)) sendsWithoutPath++
             val hasEnded = hasEndedUnder(result, endpoint)
             when (decideNextStep(result, endpoint, hasEnded)) {
                 NextStep.SendElsewhere -> Unit
                 NextStep.RefuseUnrun -> return refuse(
-                    if (endpointPool.outcomes.isCutOff && result.outcome is SendOutcome.NotSent) {
+                    if (sendsWithoutPath > 0) {
                         CUT_OFF_RETRY_AFTER_MS
                     } else {
                         endpointPool.servedInMs(admitted, requiredVersion)
@@ -210,11 +211,12 @@
         endpointPool.outcomes.isPathDown(endpoint) &&
             (result.outcome !is SendOutcome.NotSent || endpointPool.outcomes.isCutOff)
 
-    /** Whether this VM is cut off and no peer could help with this send and the one before. */
-    private fun hasNoPath(result: SendResult): Boolean {
-        if (result.outcome !is SendOutcome.NotSent || result.isWithheld || !endpointPool.outcomes.isCutOff) return false
-        return ++sendsWithoutPath > 1
-    }
+    /** Whether this VM is cut off and no peer could help with the send that has [result]. */
+    private fun hasNoPath(result: SendResult, endpoint: Endpoint): Boolean =
+        result.outcome is SendOutcome.NotSent &&
+            !result.isWithheld &&
+            endpointPool.outcomes.isCutOff &&
+            endpointPool.outcomes.isPathDown(endpoint)
 
     private fun decideNextStep(result: SendResult, endpoint: Endpoint, hasEnded: Boolean): NextStep {
         // An engine that refused the request may hold the model soon, a paused endpoint takes requests again, and a
@@ -226,7 +228,7 @@
         if (!mayAcceptLater) failedEndpoints.add(endpoint.incarnation.id)
         val mayEndEngines = hasEnded && endpointPool.outcomes.mayEndEngines(admitted)
         val history = AttemptHistory(sends.attempts, mayHaveRun, mayEndEngines)
-        val step = nextStep(admitted.route, history, result.outcome, if (hasNoPath(result)) 0 else remainingMs) {
+        val step = nextStep(admitted.route, history, result.outcome, if (sendsWithoutPath > 1) 0 else remainingMs) {
             endpointPool.takeRetry(admitted.service.name)
         }
         log.write(
--- a/entry/src/main/kotlin/io/daisybend/entry/path/EndpointConnector.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/EndpointConnector.kt
@@ -43,8 +43,8 @@
         pool.takeIdle(address, requestId, ::mayUse)?.let { return it }
         if (!paths.isDown(address)) return connectDirectlyFirst(address, timeoutMs)
         val endsAtMs = steadyMs() + timeoutMs
-        // A connection that may be dead is better than none.
-        return connectThroughPeer(address, timeoutMs)
+        // Nothing else is worth the time; a connection that may be dead is better than none.
+        return connectThroughPeer(address, timeoutMs * 2, timeoutMs)
             ?: pool.takeIdle(address, requestId)
             ?: if (paths.isCutOff) null else pool.connect(address, (endsAtMs - steadyMs()).coerceAtLeast(1))
     }
@@ -61,13 +61,13 @@
         return true
     }
 
-    /** Tests the direct path to [address]; asks a peer too if it is not known that this VM is cut off. */
+    /**
+     * Tests the direct path to [address] for [timeoutMs]; asks a peer too if that fails, unless it is known that this
+     * VM is cut off. The peer gets more time than for a request, since it may be busy.
+     */
     suspend fun testPath(address: SocketAddress, timeoutMs: Long) {
-        if (!paths.isCutOff) {
-            test(address, timeoutMs)
-        } else {
-            testDirectly(address, timeoutMs)
-        }
+        if (testDirectly(address, timeoutMs) || paths.isCutOff) return
+        connectThroughPeer(address, CERTAIN_PEER_TIMEOUT_MS, CERTAIN_PEER_TIMEOUT_MS)?.close()
     }
 
     /** Returns whether [address] accepts a direct connection within [timeoutMs]. */
@@ -131,19 +131,28 @@
         if (connection.relayedBy == null) pool.release(connection, peerKeepAliveMs = null) else connection.close()
     }
 
-    private suspend fun connectThroughPeer(address: SocketAddress, timeoutMs: Long): Connection? {
+    private suspend fun connectThroughPeer(
+        address: SocketAddress,
+        timeoutMs: Long,
+        peerTimeoutMs: Long = PEER_TIMEOUT_MS,
+    ): Connection? {
         if (paths.isDownForAll(address)) return null
         val endsAtMs = steadyMs() + timeoutMs
         var isUnreachable = false
         for (peer in peers.candidates().take(MAX_PEERS)) {
-            val remainingMs = endsAtMs - steadyMs()
+            val askedAtMs = steadyMs()
+            val remainingMs = minOf(endsAtMs - askedAtMs, peerTimeoutMs)
             if (remainingMs < MIN_RELAY_MS) break
-            when (val result = relayClient.connect(peer, address, minOf(remainingMs, PEER_TIMEOUT_MS))) {
+            when (val result = relayClient.connect(peer, address, remainingMs)) {
                 is RelayResult.Connected -> {
                     paths.onPeer(address, reached = true)
                     return result.connection
                 }
-                RelayResult.EndpointUnreachable -> isUnreachable = true
+                RelayResult.EndpointUnreachable -> {
+                    // A short wait in vain may be the fault of a busy peer, a refusal is not.
+                    val isRefused = steadyMs() - askedAtMs < remainingMs / 2
+                    isUnreachable = isUnreachable || isRefused || remainingMs >= CERTAIN_PEER_TIMEOUT_MS
+                }
                 is RelayResult.PeerUnavailable -> peers.onUnavailable(peer)
             }
         }
@@ -161,6 +170,9 @@
         /** Timeout for one peer, in milliseconds. */
         const val PEER_TIMEOUT_MS = 200L
 
+        /** Timeout after which a peer's failure to connect tells of the endpoint, in milliseconds. */
+        const val CERTAIN_PEER_TIMEOUT_MS = 1_000L
+
         /** Least time in which the answer of a peer tells of the endpoint, in milliseconds. */
         const val MIN_RELAY_MS = 120L
 
--- a/entry/src/main/kotlin/io/daisybend/entry/path/PathMonitor.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/PathMonitor.kt
@@ -117,7 +117,7 @@
         const val OTHERS_TO_TEST = 2
 
         /** An attempt that ends this long after its timeout shows that this VM stood still, in milliseconds. */
-        const val LATENESS_MS = 100L
+        const val LATENESS_MS = 200L
 
         /** Shortest timeout whose expiry tells of the path, in milliseconds. */
         const val MIN_TIMEOUT_MS = 100L
--- a/entry/src/main/kotlin/io/daisybend/entry/path/PathState.kt
+++ b/entry/src/main/kotlin/io/daisybend/entry/path/PathState.kt
@@ -27,5 +27,6 @@
 /** The address of the endpoint. */
 internal val Endpoint.address: SocketAddress get() = SocketAddress(entry.host, entry.port)
 
-/** Returns whether the direct path to [endpoint] is down, so that a broken connection says nothing of the endpoint. */
-internal fun PathState.isDown(endpoint: Endpoint): Boolean = isDown(endpoint.address)
+/** Returns whether [endpoint] is up but can't be reached directly, so that lost connections say nothing of it. */
+internal fun PathState.isDown(endpoint: Endpoint): Boolean =
+    isDown(endpoint.address) && !isDownForAll(endpoint.address)
