Count the request that is about to be written out of a VM's probes

What callers saw: a VM that had just started refused a request to a brittle service with 503 after four sends withheld within a millisecond (BrittleEndpointTest at five times the capacity, once in the whole run of the entry module). Cause: a VM that may send one request counted that request itself as one under way at the last check before it is written.

--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/BrittleEngines.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/BrittleEngines.kt
@@ -158,7 +158,7 @@
         val isUndecided = !isEasy && counted + undecided >= share.mayBeTurnedAway
         val lent = if (counted == 0) service.lentSlots(slots, known, fleet, nowMs) else 0
         val isInShare = fleet.isSettled && inPlace < share.slots - counted + lent
-        val hasRoom = known < slots && (isInShare || mayProbe(endpoint, service, fleet))
+        val hasRoom = known < slots && (isInShare || mayProbe(endpoint, service, fleet, own))
         return when {
             isUndecided -> SAFE_UNDECIDED_MS
             hasRoom -> 0
@@ -166,10 +166,12 @@
         }
     }
 
-    /** Returns whether this VM, which may not know its share or whether that still matters, may send one request. */
-    private fun mayProbe(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet): Boolean {
-        if (fleet.isSettled && !service.isDoubtful) return false
-        return endpointsOf(endpoint.entry.service).all { it.inFlight + (uses[it.incarnation]?.hasReserved ?: 0) == 0 }
+    /** Returns whether this VM may send one request: it may not know its share, or whether that still matters. */
+    private fun mayProbe(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet, own: Int): Boolean {
+        if (own > 0 || (fleet.isSettled && !service.isDoubtful)) return false
+        return endpointsOf(endpoint.entry.service)
+            .filter { it.incarnation != endpoint.incarnation }
+            .all { it.inFlight + (uses[it.incarnation]?.hasReserved ?: 0) == 0 }
     }
 
     private fun sharesOf(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet): BrittleShares {
--- a/serving/src/test/kotlin/io/daisybend/serving/endpoint/BrittleEnginesTest.kt
+++ b/serving/src/test/kotlin/io/daisybend/serving/endpoint/BrittleEnginesTest.kt
@@ -113,6 +113,14 @@
         vm.engines.take(vm.endpoints[0], now + 4_000) shouldBe false
     }
 
+    test("a VM that has just started has one request in flight at the service") {
+        val vm = BrittleVm(vmCount = 3)
+        vm.engines.setFleet(vm.fleet.copy(isSettled = false), 0)
+        vm.engines.onAnswer(vm.endpoints[0], 3, 0)
+        vm.fill(vm.endpoints[0], 0).first shouldBe 1
+        vm.fill(vm.endpoints[1], 100).first shouldBe 0
+    }
+
     test("a VM out of touch keeps to its share") {
         val vm = BrittleVm(vmCount = 3, isInTouch = false)
         vm.engines.onAnswer(vm.endpoints[0], 3, 0)
