--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/BrittleEngines.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/BrittleEngines.kt
@@ -6,6 +6,7 @@
  */
 package io.daisybend.serving.endpoint
 
+import io.daisybend.kernel.firstByRendezvous
 import kotlin.random.Random
 
 /** What this VM knows of the fleet. */
@@ -167,11 +168,13 @@
     }
 
     /** Returns whether this VM may send one request: it may not know its share, or whether that still matters. */
-    private fun mayProbe(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet, own: Int): Boolean {
-        if (own > 0 || (fleet.isSettled && !service.isDoubtful)) return false
-        return endpointsOf(endpoint.entry.service)
-            .filter { it.incarnation != endpoint.incarnation }
-            .all { it.inFlight + (uses[it.incarnation]?.hasReserved ?: 0) == 0 }
+    private fun mayProbe(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet, count: Int): Boolean {
+        if (count > 0 || (fleet.isSettled && !service.isDoubtful)) return false
+        val endpoints = endpointsOf(endpoint.entry.service)
+        // Probes of several VMs must not meet at one endpoint.
+        val own = firstByRendezvous(ownVm, endpoints) { it.incarnation.id }
+        return own?.incarnation == endpoint.incarnation &&
+            endpoints.all { it === own || it.inFlight + (uses[it.incarnation]?.hasReserved ?: 0) == 0 }
     }
 
     private fun sharesOf(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet): BrittleShares {
