--- a/serving/src/main/kotlin/io/daisybend/serving/endpoint/BrittleEngines.kt
+++ b/serving/src/main/kotlin/io/daisybend/serving/endpoint/BrittleEngines.kt
@@ -6,6 +6,7 @@
  */
 package io.daisybend.serving.endpoint
 
+import io.daisybend.kernel.firstByRendezvous
 import kotlin.random.Random
 
 /** What this VM knows of the fleet. */
@@ -158,7 +159,7 @@
         val isUndecided = !isEasy && counted + undecided >= share.mayBeTurnedAway
         val lent = if (counted == 0) service.lentSlots(slots, known, fleet, nowMs) else 0
         val isInShare = fleet.isSettled && inPlace < share.slots - counted + lent
-        val hasRoom = known < slots && (isInShare || mayProbe(endpoint, service, fleet))
+        val hasRoom = known < slots && (isInShare || mayProbe(endpoint, service, fleet, own))
         return when {
             isUndecided -> SAFE_UNDECIDED_MS
             hasRoom -> 0
@@ -166,10 +167,14 @@
         }
     }
 
-    /** Returns whether this VM, which may not know its share or whether that still matters, may send one request. */
-    private fun mayProbe(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet): Boolean {
-        if (fleet.isSettled && !service.isDoubtful) return false
-        return endpointsOf(endpoint.entry.service).all { it.inFlight + (uses[it.incarnation]?.hasReserved ?: 0) == 0 }
+    /** Returns whether this VM may send one request: it may not know its share, or whether that still matters. */
+    private fun mayProbe(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet, count: Int): Boolean {
+        if (count > 0 || (fleet.isSettled && !service.isDoubtful)) return false
+        val endpoints = endpointsOf(endpoint.entry.service)
+        // Probes of several VMs must not meet at one endpoint.
+        val own = firstByRendezvous(ownVm, endpoints) { it.incarnation.id }
+        return own?.incarnation == endpoint.incarnation &&
+            endpoints.all { it === own || it.inFlight + (uses[it.incarnation]?.hasReserved ?: 0) == 0 }
     }
 
     private fun sharesOf(endpoint: Endpoint, service: BrittleServiceState, fleet: BrittleFleet): BrittleShares {
