--- a/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
+++ b/entry/src/test/kotlin/io/daisybend/entry/RefusedAndRanTest.kt
@@ -1,6 +1,9 @@
 package io.daisybend.entry
 
 import io.daisybend.entry.standin.Behaviour
+import io.daisybend.entry.standin.FakeEndpoint
+import io.daisybend.entry.standin.Site
+import io.daisybend.entry.standin.TestCaller
 import io.daisybend.entry.standin.linesOf
 import io.daisybend.entry.standin.withSite
 import io.kotest.assertions.nondeterministic.eventually
@@ -29,6 +32,16 @@
 /** Statuses that promise that a request has not run and never will. */
 private val promises = listOf(408, 421, 429, 503)
 
+/** Sends a stream to an engine that is silent and then refuses it; returns the caller and the other engine. */
+private suspend fun Site.streamAtRefusingEngine(): Pair<TestCaller, FakeEndpoint> {
+    endpoints.forEach { it.pauseMs = 4_400 }
+    queueForAll(Behaviour.REJECT_LATE)
+    val caller = connect()
+    caller.send("POST", "/stream/x", "prompt")
+    eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
+    return caller to endpoints.single { it.turnedAway.isEmpty() }.apply { behaviours.clear() }
+}
+
 /** Callers were told "not run" although an endpoint had run their request. */
 class RefusedAndRanTest : FunSpec({
     test("a request is not answered by the copy of its refusal after its address has passed to another instance") {
@@ -64,14 +77,8 @@
     test("a stream that another engine may have run is not refused as not run by the engine that was silent") {
         withSite {
             configure(timeoutMs = LONG_TIMEOUT_MS)
-            endpoints.forEach { it.pauseMs = 4_400 }
-            queueForAll(Behaviour.REJECT_LATE)
-            val caller = connect()
-            caller.send("POST", "/stream/x", "prompt")
-            eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
-            val other = endpoints.single { it.turnedAway.isEmpty() }
+            val (caller, other) = streamAtRefusingEngine()
             other.pauseMs = 3_000
-            other.behaviours.clear()
             other.behaviours.add(Behaviour.LATE)
             endpoints.forEach { endpoint -> repeat(MANY) { endpoint.behaviours.add(Behaviour.REJECT) } }
             val response = caller.read()
@@ -83,14 +90,8 @@
     test("a stream is served by the engine that was offered it, although the silent engine refuses it meanwhile") {
         withSite {
             configure(timeoutMs = LONG_TIMEOUT_MS)
-            endpoints.forEach { it.pauseMs = 4_400 }
-            queueForAll(Behaviour.REJECT_LATE)
-            val caller = connect()
-            caller.send("POST", "/stream/x", "prompt")
-            eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
-            val other = endpoints.single { it.turnedAway.isEmpty() }
+            val (caller, other) = streamAtRefusingEngine()
             other.pauseMs = 1_500
-            other.behaviours.clear()
             other.behaviours.add(Behaviour.LATE)
             endpoints.forEach { endpoint -> repeat(MANY) { endpoint.behaviours.add(Behaviour.REJECT) } }
             caller.read().status shouldBe 200
@@ -122,13 +123,7 @@
     test("an engine that did not answer an offer in time is not sent the request again") {
         withSite {
             configure(timeoutMs = LONG_TIMEOUT_MS)
-            endpoints.forEach { it.pauseMs = 4_400 }
-            queueForAll(Behaviour.REJECT_LATE)
-            val caller = connect()
-            caller.send("POST", "/stream/x", "prompt")
-            eventually(1.seconds) { endpoints.sumOf { it.turnedAway.size } shouldBe 1 }
-            val other = endpoints.single { it.turnedAway.isEmpty() }
-            other.behaviours.clear()
+            val (caller, other) = streamAtRefusingEngine()
             other.behaviours.add(Behaviour.HANG)
             caller.read().status shouldNotBeIn promises
             other.ran shouldHaveSize 1
