--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -70,7 +70,7 @@
                             store.put("keyed.servers", id, l.substring(5));
                         } else {
                             if (l.startsWith("ran ")) ran.add(id + " " + l);
-                            note("engine " + id + ": " + l);
+                            if (System.getProperty("quiet") == null) note("engine " + id + ": " + l);
                         }
                     }
                 } catch (IOException ended) {
