--- a/review/standins-2/Case6.java
+++ b/review/standins-2/CaseFrozen.java
@@ -2,15 +2,15 @@
 import java.util.List;
 
 /** A machine stands still while an engine crashes in the middle of a stream that ends with its connection. */
-public final class Case6 {
-    private static final String CONFIG = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"site.example\",\"pathPrefix\":\"/vip/\",\"routeType\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":3000,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":250}],"
+public final class CaseFrozen {
+    static final String CONFIG = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"site.example\",\"pathPrefix\":\"/vip/\",\"routeType\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":3000,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":250}],"
         + "\"services\":[{\"name\":\"llm\",\"healthCheck\":\"/healthz\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacity\":232000,\"weightsMb\":140000.0,\"adapterSlots\":8,\"hostMb\":140000.0,\"diskMb\":540000.0,\"loadsPerS\":2.8,"
         + "\"models\":[{\"name\":\"m1\",\"weightsMb\":34300.0,\"loadS\":6.0,\"adapters\":0,\"adapterMb\":40.0,\"warmS\":0.28,\"diskS\":0.4}]}}],"
         + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
         + "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\"],\"ratePerS\":0,\"burst\":0,\"unit\":\"token_stream\",\"plainTokens\":200}]}";
 
     public static void main(String[] args) throws Exception {
-        Site.run(args[0], Case6::play);
+        Site.run(args[0], CaseFrozen::play);
     }
 
     private static boolean play(Site site) throws Exception {
--- a/review/standins-2/Case7.java
+++ b/review/standins-2/CaseReplaced.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Machines have been replaced over time; then all processes are killed and start again. */
-public final class Case7 {
+public final class CaseReplaced {
     private static final String CONFIG = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"site.example\",\"pathPrefix\":\"/batch/\",\"routeType\":\"streaming\",\"timeoutMs\":5000,\"targetLatencyMs\":800,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gapAimMs\":250}],"
         + "\"services\":[{\"name\":\"llm\",\"healthCheck\":\"/healthz\",\"maxConns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacity\":232000,\"weightsMb\":140000.0,\"adapterSlots\":8,\"hostMb\":140000.0,\"diskMb\":540000.0,\"loadsPerS\":2.8,"
         + "\"models\":[{\"name\":\"m1\",\"weightsMb\":34300.0,\"loadS\":6.0,\"adapters\":0,\"adapterMb\":40.0,\"warmS\":0.28,\"diskS\":0.4}]}}],"
@@ -19,7 +19,7 @@
     private record Sent(long atMs, int status) {}
 
     public static void main(String[] args) throws Exception {
-        Site.run(args[0], Case7::play);
+        Site.run(args[0], CaseReplaced::play);
     }
 
     private static boolean play(Site site) throws Exception {
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -46,6 +46,9 @@
         final String host;
         final int port;
         private final List<String> words = new ArrayList<>();
+        private boolean startsEmpty;
+        /** What the engine last said of itself. */
+        volatile String lastBeat = "";
         Process process;
 
         Engine(String id, String host, String service, String... more) throws IOException {
@@ -58,7 +61,9 @@
 
         Engine start() throws IOException {
             List<String> command = new ArrayList<>(List.of(java(), "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "EngineStandin"));
-            command.addAll(words);
+            // Engines restart empty.
+            for (String word : words) command.add(startsEmpty && word.startsWith("models=") ? "models=" : word);
+            startsEmpty = true;
             Process p = Site.this.start(new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD));
             process = p;
             note("engine " + id + " starts");
@@ -67,7 +72,8 @@
                     String l;
                     while ((l = r.readLine()) != null) {
                         if (l.startsWith("beat ")) {
-                            store.put("keyed.servers", id, l.substring(5));
+                            lastBeat = l.substring(5);
+                            store.put("keyed.servers", id, lastBeat);
                         } else {
                             if (l.startsWith("ran ")) ran.add(id + " " + l);
                             if (System.getProperty("quiet") == null) note("engine " + id + ": " + l);
@@ -82,9 +88,12 @@
             return this;
         }
 
+        boolean holds(String model) { return process.isAlive() && lastBeat.contains("\"name\":\"" + model + "\""); }
+
         void kill() throws InterruptedException {
+            note("engine " + id + " is killed");
             process.destroyForcibly().waitFor();
-            note("engine " + id + " was killed");
+            lastBeat = "";
         }
 
         void awaitListening(long timeoutMs) throws Exception {
