Review: case 6 with the connections that other callers keep

The engines no longer compute. The case: twelve crashes, 56 streams and 150 kept connections at each.

--- a/review/standins-2/CaseCrash.java
+++ b/review/standins-2/CaseCrash.java
@@ -7,8 +7,9 @@
     private static final int CRASHES = 12;
     private static final int STREAMS = 56;
     private static final int EVENTS = 73;
-    /** Threads that compute in each of the eight engines, which share the machine: three for each of its cores. */
-    private static final int BUSY = Integer.getInteger("busy", (Runtime.getRuntime().availableProcessors() * 3 + 7) / 8);
+
+    /** Connections that other callers keep open to the engine, of the 370 that it accepts. */
+    private static final int KEPT = 150;
 
     private final AtomicInteger complete = new AtomicInteger();
     private final AtomicInteger broken = new AtomicInteger();
@@ -22,7 +23,7 @@
         site.store.put("keyed.op", "config", CaseFrozen.CONFIG);
         List<Site.Engine> engines = new ArrayList<>();
         for (int i = 1; i <= 8; i++) {
-            Site.Engine engine = site.new Engine("e-" + i, "127.0.0.2" + i, "llm", i == 1 ? "models=m1" : "models=", "framing=close", "events=" + EVENTS, "gapMs=20", "busy=" + BUSY).start();
+            Site.Engine engine = site.new Engine("e-" + i, "127.0.0.2" + i, "llm", i == 1 ? "models=m1" : "models=", "framing=close", "events=" + EVENTS, "gapMs=20").start();
             engine.awaitListening(20_000);
             engines.add(engine);
         }
@@ -31,6 +32,8 @@
         Thread.sleep(1_500);
         for (int round = 0; round < CRASHES; round++) {
             Site.Engine holder = awaitHolder(site, engines);
+            List<Socket> kept = new ArrayList<>();
+            for (int i = 0; i < KEPT; i++) kept.add(new Socket(holder.host, holder.port));
             List<Thread> clients = new ArrayList<>();
             for (int i = 0; i < STREAMS; i++) {
                 String id = "a" + (round * STREAMS + i);
@@ -47,6 +50,7 @@
                 holder.awaitListening(10_000);
             }
             for (Thread client : clients) client.join();
+            for (Socket connection : kept) connection.close();
             Thread.sleep(500);
             // Another engine loads the model when it is asked for.
             if (Site.TROUBLE) stream(site, vm, "w" + round);
--- a/review/standins-2/EngineStandin.java
+++ b/review/standins-2/EngineStandin.java
@@ -8,7 +8,7 @@
  * An engine, or a server of a plain service, as a process of its own. It writes to its output a line "beat JSON" each
  * heartbeat, which the case puts into the store under the engine's id, and "ran ..." for each request that it begins.
  * Arguments: key=value of host, port, id, service, zone, models (held at the start, separated by commas; absent for a
- * plain service), busy (threads that compute all the time), events, gapMs (between events), firstMs (before the first), framing (chunked or close).
+ * plain service), events, gapMs (between events), firstMs (before the first), framing (chunked or close).
  */
 public final class EngineStandin {
     private static final Map<String, String> args = new HashMap<>();
@@ -33,13 +33,6 @@
         });
         beats.setDaemon(true);
         beats.start();
-        for (int i = Integer.parseInt(args.getOrDefault("busy", "0")); i > 0; i--) {
-            Thread work = new Thread(() -> {
-                while (true) java.util.concurrent.ThreadLocalRandom.current().nextInt();
-            });
-            work.setDaemon(true);
-            work.start();
-        }
         while (true) {
             Socket s = server.accept();
             s.setTcpNoDelay(true);
