Review: case 8, a VM that runs out of memory hangs for good

Cause: BodyMemory bounds what bodies reserve, not what they take. Each connection reads ahead up to 1 MiB in the channel of ktor, which nothing counts, and readAll copies a body twice while it grows. OutOfMemoryError ends coroutines, whose memory stays taken; the process neither serves nor ends.

The case: three VMs, one processor each, get 21 requests a second with bodies of 4,000,000 bytes (maxBodyBytes 4,194,304); two VMs are killed. Ten seconds after the last client has left, 24 short requests are sent to the third.

--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -116,6 +116,8 @@
         final int front;
         final int ready;
         final Path settings;
+        /** The processor that the process is bound to, or null for all of them. */
+        Integer core;
         Process process;
 
         Vm(String name, String ip) throws IOException {
@@ -145,6 +147,7 @@
                 if (l.startsWith("run = ")) command.addAll(List.of(l.substring(l.indexOf('"') + 1, l.lastIndexOf('"')).split(" ")));
             }
             command.set(0, java());
+            if (core != null) command.addAll(0, List.of("taskset", "-c", core.toString()));
             ProcessBuilder b = new ProcessBuilder(command);
             b.environment().put("DAISYBEND_SETTINGS", settings.toString());
             b.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
@@ -204,6 +207,19 @@
         CannotRun(String reason) { super(reason); }
     }
 
+    /** The numbers of the processors that this process may use. */
+    static List<Integer> cores() throws IOException {
+        List<Integer> cores = new ArrayList<>();
+        for (String l : Files.readAllLines(Path.of("/proc/self/status"))) {
+            if (!l.startsWith("Cpus_allowed_list:")) continue;
+            for (String range : l.substring(l.indexOf(':') + 1).trim().split(",")) {
+                String[] ends = range.split("-");
+                for (int c = Integer.parseInt(ends[0]); c <= Integer.parseInt(ends[ends.length - 1]); c++) cores.add(c);
+            }
+        }
+        return cores;
+    }
+
     static String java() { return Path.of(System.getProperty("java.home"), "bin", "java").toString(); }
 
     static int eventsIn(byte[] body) {
